--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -20,18 +20,23 @@
 FULL = 0.85  # share of capacity above which a server sheds slices
 ROOM = 0.75  # share of capacity up to which an alternate takes more
 RETURN = 0.65  # a detoured slice goes home only if its default would stay below this
+SHORT = 1.0  # above this share, with no room anywhere, slices go where the shortage is smaller
+EVEN = 0.25  # by this share of capacity at least
 HOLD_S = 6.0  # a slice that moved by choice stays at least this long
+STEADY_S = 8.0  # memory of capacity and of other assigners' load, which change slowly
+JUMP = 1.6  # a capacity reading off by this factor is learned fast
 MISS = 1.4  # a slice brings this much more work to a server that has not cached its keys
 SPLIT = 0.45  # a slice above this share of its server's capacity is spread over several
 MERGE = 0.25  # and brought together again below this
 PARTS_MOST = 4
 STANDBY = 0.004  # weight of the second line, where a proxy's further try finds another server
-COLD_SHARE = 0.5  # part of a cold server's present capacity that all assigners may plan with
+COLD_SHARE = 0.6  # part of a cold server's present capacity that all assigners may plan with
+COLD_MISS = 2.0  # with an empty cache a request may be this much dearer
 STALE_S = 2.5  # beyond the usual lag, reports older than this leave the ordinary plan as it is
 PROBE_S = 0.8
 PROBES_MISSED = 3
 SILENT = 4.0  # reporting intervals without a good answer that make a server suspect
-FAILING = 0.6  # share of failed tries that makes a server suspect
+FAILING = 0.85  # share of failed tries that makes a server suspect
 OUT_MOST = 0.6  # if more of the fleet than this looks bad, the cause is common: nobody is ejected
 TRIAL_S = 5.0  # first wait before an ejected server that can't be probed gets a further try
 STEP_S = 2.0  # time without trouble for each level up
@@ -42,9 +47,15 @@
 ROUND_TIMER = 1
 
 
-def smooth(old: float | None, new: float, span: float) -> float:
-    """An average that forgets over WINDOW_S, whatever the span of each sample."""
-    return new if old is None else old + (new - old) * (1 - math.exp(-max(span, 0.1) / WINDOW_S))
+def smooth(old: float | None, new: float, span: float, memory: float = WINDOW_S) -> float:
+    """An average that forgets over a memory, whatever the span of each sample."""
+    return new if old is None else old + (new - old) * (1 - math.exp(-max(span, 0.1) / memory))
+
+
+def learn(old: float | None, new: float) -> float:
+    """A slow average for what seldom changes, fast when the reading is far off."""
+    far = old is not None and not old / JUMP < new < old * JUMP
+    return smooth(old, new, ROUND_S, WINDOW_S / 2 if far else STEADY_S)
 
 
 @dataclass(slots=True)
@@ -71,6 +82,7 @@
     inflight: float | None = None
     service_s: float | None = None
     capacity: float | None = None
+    foreign: float | None = None  # load that other assigners' proxies bring
     last_good: float = 0.0
     interval: float | None = None  # usual time between digests with good answers
     missed: int = 0  # probes unanswered in a row
@@ -350,21 +362,25 @@
         mine = max(1, len(self.slices)) / max(1, self.set.slices)
         for v in ready:
             rate = self.served(v)
-            if v.load is not None and v.load > 0.15 and rate > 0 and self.warmth(v.entry.id) >= 1:
-                if self.set.instances == 1:
-                    v.capacity = smooth(v.capacity, rate / v.load, ROUND_S * 2)
+            if self.set.instances > 1 or v.load is None or rate <= 0 or self.warmth(v.entry.id) < 1:
+                continue
+            if v.load > 0.15:
+                v.capacity = learn(v.capacity, rate / v.load)
         total = sum(v.entry.weight for v in ready if v.load is not None)
         work = sum(v.entry.weight * v.load for v in ready if v.load is not None)
         if total > 0 and work > 0.1 * total:
             rate = sum(self.served(v) for v in ready if v.load is not None) / mine
             if rate > 0:
-                self.per_size = smooth(self.per_size, rate / work, ROUND_S)
+                self.per_size = learn(self.per_size, rate / work)
         if self.set.instances > 1 and self.per_size is not None:
             times = sorted(v.service_s for v in ready if v.service_s)
             usual = times[len(times) // 2] if times else None
             for v in ready:
                 pace = usual / v.service_s if usual and v.service_s else 1.0
-                v.capacity = self.per_size * v.entry.weight * pace
+                v.capacity = learn(v.capacity, self.per_size * v.entry.weight * pace)
+                if v.load is not None:
+                    other = max(0.0, v.load * v.capacity - self.served(v))
+                    v.foreign = smooth(v.foreign, other, ROUND_S, STEADY_S)
 
     def capacity(self, sid: int) -> float:
         """What the server can do now, all assigners together."""
@@ -375,13 +391,6 @@
         warm = self.warmth(sid)
         return known * LEVELS[view.level] * (warm if warm >= 1 else warm * COLD_SHARE)
 
-    def foreign(self, sid: int) -> float:
-        """The load that other assigners' proxies bring, as far as the server's report shows it."""
-        view = self.servers[sid]
-        if self.set.instances == 1 or view.load is None or view.capacity is None:
-            return 0.0
-        return max(0.0, view.load * view.capacity - self.served(view))
-
     def project(self) -> dict[int, list[int]]:
         """Every slice on its default server; a slice hotter than its server's part gets more places."""
         plan: dict[int, list[int]] = {}
@@ -402,8 +411,9 @@
 
     def detour(self, plan: dict[int, list[int]]) -> dict[int, list[int]]:
         can = {sid: self.capacity(sid) for sid in sorted(self.servers) if self.ready(sid)}
-        load = {sid: self.foreign(sid) for sid in can}
+        load = {sid: self.servers[sid].foreign or 0.0 for sid in can}
         usable = {sid for sid in can if self.servers[sid].level > 0}
+        warm = {sid for sid in usable if self.warmth(sid) >= 1}
         part: dict[int, float] = {}
         pieces: dict[int, int] = {}
         for number, view in sorted(self.slices.items()):
@@ -417,29 +427,33 @@
             part[number] = heat / want
             for sid in plan[number]:
                 if sid in load:
-                    load[sid] += part[number]
+                    load[sid] += part[number] * (1.0 if self.warmth(sid) >= 1 else COLD_MISS)
+
+        def cost(number: int, sid: int) -> float:
+            """What the slice weighs there: dearer where its keys are not cached."""
+            if not self.set.warm_keys or (sid in self.slices[number].places and sid in warm):
+                return part[number]
+            return part[number] * (MISS if sid in warm else COLD_MISS)
 
         def place(number: int, room: float) -> int | None:
-            view = self.slices[number]
             for sid in self.ranking(number):
-                if sid in usable and sid not in plan[number]:
-                    cost = part[number] * (1.0 if sid in view.places else MISS)
-                    if load[sid] + cost <= room * can[sid]:
-                        return sid
+                fits = sid in usable and load[sid] + cost(number, sid) <= room * can[sid]
+                if fits and sid not in plan[number]:
+                    return sid
             return None
 
         def roomiest(number: int) -> int | None:
-            best = [s for s in usable if s not in plan[number] and can[s] > 0]
-            best.sort(key=lambda s: (self.warmth(s) < 1, load[s] / can[s], s))
+            """The warm server with most room; cold ones get nothing beyond their part while others are."""
+            best = [s for s in sorted(usable) if s not in plan[number] and can[s] > 0]
+            best.sort(key=lambda s: (s not in warm, (load[s] + cost(number, s)) / can[s]))
             return best[0] if best else None
 
         def move(number: int, old: int | None, new: int) -> None:
-            cost = part[number] * (1.0 if new in self.slices[number].places else MISS)
-            load[new] += cost
+            load[new] += cost(number, new)
             if old is not None:
                 plan[number].remove(old)
                 if old in load:
-                    load[old] -= part[number]
+                    load[old] -= part[number] * (1.0 if old in warm else COLD_MISS)
             plan[number].append(new)
 
         # Slices that stand elsewhere stay there until their default has room to spare.
@@ -472,6 +486,14 @@
                 if plan[number] != [sid] or part[number] <= 0.005 * can[sid]:
                     continue
                 target = place(number, ROOM)
+                if target is None and (sid not in warm or load[sid] > SHORT * can[sid]):
+                    # No room anywhere: a cold server is spared all the same, others share the shortage.
+                    best = roomiest(number)
+                    if best is not None and (
+                        (sid not in warm and best in warm)
+                        or (load[best] + cost(number, best)) / can[best] < load[sid] / max(can[sid], 1e-9) - EVEN
+                    ):
+                        target = best
                 if target is not None:
                     move(number, sid, target)
         # Further places of slices that are spread.
@@ -482,8 +504,7 @@
                 target = kept[0] if kept else place(number, ROOM)
                 if target is None:
                     break
-                load[target] += part[number]
-                plan[number].append(target)
+                move(number, None, target)
         return plan
 
     # Guard and publish --------------------------------------------------------------------------
