--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -24,6 +24,7 @@
 EVEN = 0.25  # by this share of capacity at least
 HOLD_S = 6.0  # a slice that moved by choice stays at least this long
 STEADY_S = 8.0  # memory of capacity and of other assigners' load, which change slowly
+IDLE = 0.15  # a server reporting less load than this tells little of its capacity
 JUMP = 1.6  # a capacity reading off by this factor is learned fast
 MISS = 1.4  # a slice brings this much more work to a server that has not cached its keys
 SPLIT = 0.45  # a slice above this share of its server's capacity is spread over several
@@ -364,7 +365,7 @@
             rate = self.served(v)
             if self.set.instances > 1 or v.load is None or rate <= 0 or self.warmth(v.entry.id) < 1:
                 continue
-            if v.load > 0.15:
+            if v.load > IDLE:
                 v.capacity = learn(v.capacity, rate / v.load)
         total = sum(v.entry.weight for v in ready if v.load is not None)
         work = sum(v.entry.weight * v.load for v in ready if v.load is not None)
@@ -373,14 +374,16 @@
             if rate > 0:
                 self.per_size = learn(self.per_size, rate / work)
         if self.set.instances > 1 and self.per_size is not None:
-            times = sorted(v.service_s for v in ready if v.service_s)
-            usual = times[len(times) // 2] if times else None
+            # An idle server's service time tells of probes only, a cold one's of its coldness.
+            paced = [v for v in ready if v.service_s and (v.load or 0) > IDLE and self.warmth(v.entry.id) >= 1]
+            times = sorted(v.service_s for v in paced if v.service_s)
             for v in ready:
-                pace = usual / v.service_s if usual and v.service_s else 1.0
-                v.capacity = learn(v.capacity, self.per_size * v.entry.weight * pace)
+                if v in paced and v.service_s:
+                    pace = min(times[len(times) // 2] / v.service_s, JUMP)
+                    v.capacity = learn(v.capacity, self.per_size * v.entry.weight * pace)
                 if v.load is not None:
-                    other = max(0.0, v.load * v.capacity - self.served(v))
-                    v.foreign = smooth(v.foreign, other, ROUND_S, STEADY_S)
+                    now = (v.capacity or self.per_size * v.entry.weight) * self.warmth(v.entry.id)
+                    v.foreign = smooth(v.foreign, max(0.0, v.load * now - self.served(v)), ROUND_S, STEADY_S)
 
     def capacity(self, sid: int) -> float:
         """What the server can do now, all assigners together."""
@@ -486,14 +489,12 @@
                 if plan[number] != [sid] or part[number] <= 0.005 * can[sid]:
                     continue
                 target = place(number, ROOM)
-                if target is None and (sid not in warm or load[sid] > SHORT * can[sid]):
+                best = roomiest(number) if target is None else None
+                if best is not None:
                     # No room anywhere: a cold server is spared all the same, others share the shortage.
-                    best = roomiest(number)
-                    if best is not None and (
-                        (sid not in warm and best in warm)
-                        or (load[best] + cost(number, best)) / can[best] < load[sid] / max(can[sid], 1e-9) - EVEN
-                    ):
-                        target = best
+                    fuller = load[sid] - (load[best] + cost(number, best)) / can[best] * can[sid]
+                    even = load[sid] > SHORT * can[sid] and fuller > EVEN * can[sid]
+                    target = best if even or (sid not in warm and best in warm) else None
                 if target is not None:
                     move(number, sid, target)
         # Further places of slices that are spread.
