--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -25,6 +25,7 @@
 HOLD_S = 6.0  # a slice that moved by choice stays at least this long
 STEADY_S = 8.0  # memory of capacity and of other assigners' load, which change slowly
 IDLE = 0.15  # a server reporting less load than this tells little of its capacity
+CROWDED = 0.8  # and one above this has a service time that tells of the crowd
 JUMP = 1.6  # a capacity reading off by this factor is learned fast
 MISS = 1.4  # a slice brings this much more work to a server that has not cached its keys
 SPLIT = 0.45  # a slice above this share of its server's capacity is spread over several
@@ -83,6 +84,7 @@
     inflight: float | None = None
     service_s: float | None = None
     capacity: float | None = None
+    pace: float = 1.0  # its speed against servers of its size
     foreign: float | None = None  # load that other assigners' proxies bring
     last_good: float = 0.0
     interval: float | None = None  # usual time between digests with good answers
@@ -374,16 +376,18 @@
             if rate > 0:
                 self.per_size = learn(self.per_size, rate / work)
         if self.set.instances > 1 and self.per_size is not None:
-            # An idle server's service time tells of probes only, a cold one's of its coldness.
-            paced = [v for v in ready if v.service_s and (v.load or 0) > IDLE and self.warmth(v.entry.id) >= 1]
+            # A service time tells a server's pace between idling, when it is the probes', and crowding,
+            # when all are slow. What the pace misses shows up as foreign load and is shed all the same.
+            paced = [v for v in ready if v.service_s and v.load and IDLE < v.load < CROWDED]
+            paced = [v for v in paced if self.warmth(v.entry.id) >= 1]
             times = sorted(v.service_s for v in paced if v.service_s)
             for v in ready:
                 if v in paced and v.service_s:
-                    pace = min(times[len(times) // 2] / v.service_s, JUMP)
-                    v.capacity = learn(v.capacity, self.per_size * v.entry.weight * pace)
+                    v.pace = learn(v.pace, min(times[len(times) // 2] / v.service_s, JUMP))
+                v.capacity = self.per_size * v.entry.weight * v.pace
                 if v.load is not None:
-                    now = (v.capacity or self.per_size * v.entry.weight) * self.warmth(v.entry.id)
-                    v.foreign = smooth(v.foreign, max(0.0, v.load * now - self.served(v)), ROUND_S, STEADY_S)
+                    other = v.load * v.capacity * self.warmth(v.entry.id) - self.served(v)
+                    v.foreign = smooth(v.foreign, max(0.0, other), ROUND_S, STEADY_S)
 
     def capacity(self, sid: int) -> float:
         """What the server can do now, all assigners together."""
@@ -440,9 +444,10 @@
 
         def place(number: int, room: float) -> int | None:
             for sid in self.ranking(number):
-                fits = sid in usable and load[sid] + cost(number, sid) <= room * can[sid]
-                if fits and sid not in plan[number]:
-                    return sid
+                if sid in usable and sid not in plan[number]:
+                    allowed = base[sid] + (room * can[sid] - base[sid]) / self.set.instances
+                    if load[sid] + cost(number, sid) <= allowed:
+                        return sid
             return None
 
         def roomiest(number: int) -> int | None:
@@ -470,6 +475,7 @@
             recent = self.now - view.moved < HOLD_S
             if home not in usable or recent or load[home] > RETURN * can[home]:
                 move(number, home, held)
+        base = dict(load)  # room and excess are seen by every assigner: each takes its part of them
         # Slices on draining, gone or ejected servers always move.
         for number in sorted(self.slices):
             home = plan[number][0] if plan[number] else None
@@ -483,8 +489,9 @@
                 plan[number] = []
         # Servers above the threshold shed in slice-number order.
         for sid in sorted(usable):
+            excess = max(0.0, base[sid] - FULL * can[sid]) if sid in warm else 0.0
             for number in sorted(self.slices):
-                if load[sid] <= FULL * can[sid]:
+                if load[sid] <= FULL * can[sid] + excess * (1 - 1 / self.set.instances):
                     break
                 if plan[number] != [sid] or part[number] <= 0.005 * can[sid]:
                     continue
