--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -27,12 +27,11 @@
 IDLE = 0.15  # a server reporting less load than this tells little of its capacity
 CROWDED = 0.8  # and one above this has a service time that tells of the crowd
 JUMP = 1.6  # a capacity reading off by this factor is learned fast
-MISS = 1.4  # a slice brings this much more work to a server that has not cached its keys
+MISS = 1.7  # a slice brings this much more work to a server that has not cached its keys
 SPLIT = 0.45  # a slice above this share of its server's capacity is spread over several
 MERGE = 0.25  # and brought together again below this
 PARTS_MOST = 4
 STANDBY = 0.004  # weight of the second line, where a proxy's further try finds another server
-COLD_SHARE = 0.6  # part of a cold server's present capacity that all assigners may plan with
 COLD_MISS = 2.0  # with an empty cache a request may be this much dearer
 STALE_S = 2.5  # beyond the usual lag, reports older than this leave the ordinary plan as it is
 PROBE_S = 0.8
@@ -303,7 +302,7 @@
                 self.raise_level(view)
 
     def suspect(self, view: ServerView, usual: float) -> bool:
-        fresh = self.now - self.reported < 1.5 * usual
+        fresh = self.now - self.reported < 1.5 * usual and (view.missed > 0 or not self.set.probes)
         silent = self.now - max(view.last_good, view.level_since, view.since)
         expected = sum(self.share_of(s, view.entry.id) for s in self.slices.values())
         quiet = fresh and expected * silent > 6 and silent > SILENT * usual
@@ -320,7 +319,8 @@
         elif view.level == 0:
             ready = calm > TRIAL_S * 2 ** min(view.ejections - 1, 3)
         else:
-            ready = calm > STEP_S and view.last_good > view.level_since
+            idle = view.last_good <= view.level_since  # nothing was sent that could tell
+            ready = calm > STEP_S * (2 if idle else 1)
         if ready:
             view.level, view.level_since = view.level + 1, self.now
             view.failing, view.missed = None, 0
@@ -395,8 +395,7 @@
         known = view.capacity
         if known is None:
             known = (self.per_size or 0.0) * view.entry.weight
-        warm = self.warmth(sid)
-        return known * LEVELS[view.level] * (warm if warm >= 1 else warm * COLD_SHARE)
+        return known * LEVELS[view.level] * self.warmth(sid)
 
     def project(self) -> dict[int, list[int]]:
         """Every slice on its default server; a slice hotter than its server's part gets more places."""
@@ -442,7 +441,12 @@
                 return part[number]
             return part[number] * (MISS if sid in warm else COLD_MISS)
 
-        def place(number: int, room: float) -> int | None:
+        def place(number: int) -> int | None:
+            """The first alternate with room: first among those not above the fleet's mean load."""
+            mean = sum(load[s] for s in usable) / max(sum(can[s] for s in usable), 1e-9)
+            return first(number, min(ROOM, mean)) or first(number, ROOM)
+
+        def first(number: int, room: float) -> int | None:
             for sid in self.ranking(number):
                 if sid in usable and sid not in plan[number]:
                     allowed = base[sid] + (room * can[sid] - base[sid]) / self.set.instances
@@ -481,7 +485,7 @@
             home = plan[number][0] if plan[number] else None
             if home in usable:
                 continue
-            new = place(number, ROOM)
+            new = place(number)
             new = roomiest(number) if new is None else new
             if new is not None:
                 move(number, home, new)
@@ -495,7 +499,7 @@
                     break
                 if plan[number] != [sid] or part[number] <= 0.005 * can[sid]:
                     continue
-                target = place(number, ROOM)
+                target = place(number)
                 best = roomiest(number) if target is None else None
                 if best is not None:
                     # No room anywhere: a cold server is spared all the same, others share the shortage.
@@ -509,7 +513,7 @@
             while plan[number] and len(plan[number]) < pieces[number]:
                 kept = [s for s in self.slices[number].places if s in usable and s not in plan[number]]
                 kept = [s for s in kept if load[s] + part[number] <= FULL * can[s]]
-                target = kept[0] if kept else place(number, ROOM)
+                target = kept[0] if kept else place(number)
                 if target is None:
                     break
                 move(number, None, target)
