Silence alone ejects nobody; failures or lost probes do

A server that takes work and answers none shows failed tries or lost probes, so nothing is given up. It may be slower where proxies report no failures for a long deadline.

--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -36,7 +36,6 @@
 STALE_S = 2.5  # beyond the usual lag, reports older than this leave the ordinary plan as it is
 PROBE_S = 0.8
 PROBES_MISSED = 3
-SILENT = 4.0  # reporting intervals without a good answer that make a server suspect
 FAILING = 0.85  # share of failed tries that makes a server suspect
 OUT_MOST = 0.6  # if more of the fleet than this looks bad, the cause is common: nobody is ejected
 TRIAL_S = 5.0  # first wait before an ejected server that can't be probed gets a further try
@@ -302,15 +301,12 @@
                 self.raise_level(view)
 
     def suspect(self, view: ServerView, usual: float) -> bool:
-        fresh = self.now - self.reported < 1.5 * usual and (view.missed > 0 or not self.set.probes)
         silent = self.now - max(view.last_good, view.level_since, view.since)
-        expected = sum(self.share_of(s, view.entry.id) for s in self.slices.values())
-        quiet = fresh and expected * silent > 6 and silent > SILENT * usual
         failing = view.failing is not None and view.failing > FAILING and view.level > 0
         mute = view.missed >= PROBES_MISSED and silent > 1.5 * usual
         if view.level == 0:
             return view.missed > 0
-        return mute or quiet or (failing and silent > usual)
+        return mute or (failing and silent > usual)
 
     def raise_level(self, view: ServerView) -> None:
         calm = self.now - view.level_since
