In-flight load by Little's law, its full size learned from the unhurried fleet's median

Now requests under way are served rate times answer time, and nothing is learned while answers are slow.

--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -44,6 +44,8 @@
 REHOME_S = 20.0  # a default gone for this long is replaced by where the slice is now
 BACKLOG = 0.5  # part of the channel's limit that ordinary changes may fill
 SLOW_CHANNEL = 0.5  # the channel is counted on for this part of its stated speed
+USUAL = 0.5  # load that a fleet answering unhurried is taken to have at most, where nothing reports it
+HURRY = 2.0  # an answer time this many times the unhurried one tells of queues
 ROUND_TIMER = 1
 
 
@@ -77,6 +79,7 @@
     entry: api.Server
     since: float  # when it was first heard of, or restarted
     good: dict[int, Rate] = field(default_factory=dict)  # answered tries, by proxy zone
+    held: dict[int, Rate] = field(default_factory=dict)  # and how many were under way (Little's law)
     failing: float | None = None
     load: float | None = None  # busy share, 0 to 1
     inflight: float | None = None
@@ -125,7 +128,8 @@
         self.levels_due: set[int] | bool = False
         self.reported = -math.inf  # when anything was last heard from proxies
         self.per_size: float | None = None  # capacity of a server of listed size 1, fleet-wide
-        self.busy_size = 0.0  # requests in work per listed size at a full server, as far as seen
+        self.unhurried: float | None = None  # answer time of the quicker servers when little waits
+        self.in_work = 0.0  # requests in work per listed size at a full server, as far as seen
 
     def handle(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
         self.now, self.actions = now, []
@@ -237,6 +241,7 @@
         self.reported = self.now
         good = event.tries - event.failed
         view.good.setdefault(event.zone, Rate()).add(self.now, good, event.span_s)
+        view.held.setdefault(event.zone, Rate()).add(self.now, good * event.mean_s, event.span_s)
         if event.tries:
             view.failing = smooth(view.failing, event.failed / event.tries, event.span_s * event.tries / 3)
         if good:
@@ -341,23 +346,38 @@
     def share_of(self, view: SliceView, sid: int) -> float:
         return self.heat(view) / len(view.places) if sid in view.places else 0.0
 
-    def served(self, view: ServerView) -> float:
-        """Good answers a second by all assigners' proxies; others' part is taken in proportion to slices."""
+    def recent(self, view: ServerView, rates: dict[int, Rate]) -> float:
         window = max(2 * WINDOW_S, 3 * (view.interval or 1.0))
-        own = sum(r.value or 0.0 for r in view.good.values() if self.now - r.heard < window)
-        return own
+        return sum(r.value or 0.0 for r in rates.values() if self.now - r.heard < window)
+
+    def served(self, view: ServerView) -> float:
+        """Good answers a second that this assigner's proxies had from the server."""
+        return self.recent(view, view.good)
+
+    def read_inflight(self, ready: list[ServerView]) -> None:
+        """A load from requests in flight, where no busy share is reported. A full server has a certain
+        number in work per listed size: a fleet that answers unhurried is taken to be at USUAL of it at
+        most, and while answers are slow, which tells of queues, nothing is learned from their number."""
+        times = {v.entry.id: self.recent(v, v.held) / self.served(v) for v in ready if self.served(v) > 1}
+        if not times:
+            return
+        usual = sorted(times.values())[len(times) // 4]
+        falling = self.unhurried is None or usual < self.unhurried
+        self.unhurried = smooth(self.unhurried, usual, ROUND_S, WINDOW_S if falling else 10 * STEADY_S)
+        if sorted(times.values())[len(times) // 2] < HURRY * self.unhurried:
+            held = sorted(self.recent(v, v.held) / v.entry.weight for v in ready)
+            self.in_work = max(self.in_work, held[len(held) // 2] / USUAL)
+        for v in ready:
+            own = self.recent(v, v.held)
+            total = own if self.set.instances == 1 else max(own, v.inflight or 0.0)
+            if v.entry.id in times and self.in_work > 0:
+                v.load = min(1.0, total / (v.entry.weight * self.in_work))
 
     def estimate(self) -> None:
-        """Capacity = served rate over reported load. In-flight counts become a load by the largest
-        number of requests in work per listed size that the fleet was seen to carry."""
+        """Capacity = served rate over load, fleet-wide by listed size and for each server."""
         ready = [v for sid, v in sorted(self.servers.items()) if self.ready(sid) and v.entry.weight > 0]
-        if self.set.slices and "busy" not in self.set.report_names:
-            sizes = sorted(v.inflight / v.entry.weight for v in ready if v.inflight is not None)
-            if sizes:
-                self.busy_size = max(self.busy_size, 2 * sizes[len(sizes) // 2])
-            for v in ready:
-                if v.inflight is not None and self.busy_size > 0:
-                    v.load = min(1.0, v.inflight / (v.entry.weight * self.busy_size))
+        if "busy" not in self.set.report_names:
+            self.read_inflight(ready)
         mine = max(1, len(self.slices)) / max(1, self.set.slices)
         for v in ready:
             rate = self.served(v)
