--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -452,8 +452,10 @@
                     load[sid] += part[number] * (1.0 if self.warmth(sid) >= 1 else COLD_MISS)
 
         def cost(number: int, sid: int) -> float:
-            """What the slice weighs there: dearer where its keys are not cached."""
-            if not self.set.warm_keys or (sid in self.slices[number].places and sid in warm):
+            """What the slice weighs there: dearer where its keys are not cached. The few keys that make
+            a slice hot are soon cached anywhere."""
+            known = pieces[number] > 1 or sid in self.slices[number].places
+            if not self.set.warm_keys or (known and sid in warm):
                 return part[number]
             return part[number] * (MISS if sid in warm else COLD_MISS)
 
@@ -529,8 +531,8 @@
             while plan[number] and len(plan[number]) < pieces[number]:
                 kept = [s for s in self.slices[number].places if s in usable and s not in plan[number]]
                 kept = [s for s in kept if load[s] + part[number] <= FULL * can[s]]
-                target = kept[0] if kept else place(number)
-                if target is None:
+                target = kept[0] if kept else place(number) or roomiest(number)
+                if target is None or load[target] + cost(number, target) > SHORT * can[target]:
                     break
                 move(number, None, target)
         return plan
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,94 @@
+"""Servers that are listed ready and do not answer, and troubles that are everybody's."""
+
+from puffintide import interface as api
+from tests.world import World, server
+
+
+def test_server_that_answers_nothing_is_left() -> None:
+    world = World()
+    world.run(10)
+    world.mute.add(1)
+    world.run(6)
+    assert all(1 not in world.main(n) for n in world.tables)
+
+
+def test_slow_down_of_everything_ejects_nobody() -> None:
+    world = World()
+    world.run(10)
+    world.mute.update(world.capacity)
+    world.run(10)
+    assert all(view.level > 0 for view in world.director.servers.values())
+
+
+def test_ejected_server_comes_back_by_levels() -> None:
+    world = World()
+    world.run(10)
+    world.mute.add(1)
+    world.run(6)
+    world.mute.clear()
+    levels = []
+    for _ in range(120):
+        world.run(0.25)
+        levels.append(world.director.servers[1].level)
+    assert {1, 2, 3} <= set(levels)
+    assert levels[-1] == 3
+
+
+def test_lost_probes_of_a_server_that_still_answers_eject_nobody() -> None:
+    world = World(probes=True)
+    for _ in range(40):
+        world.run(0.25)
+        world.tell(api.ProbeResult(1, 3, 0.4, ()))
+    assert world.director.servers[1].level == 3
+
+
+def test_new_server_with_nothing_to_do_is_not_suspected() -> None:
+    world = World(probes=True)
+    world.run(5)
+    world.tell(api.ServerList("delta", 2, (server(9, started=world.now),)))
+    world.run(15)
+    assert world.director.servers[9].level == 3
+
+
+def test_idle_server_with_a_tiny_service_time_is_not_taken_for_a_fast_one() -> None:
+    world = World(instances=2, report_names=("busy", "rif", "lat_ms"))
+    world.run(10)
+    world.tell(api.ServerList("delta", 2, (server(9, started=world.now),)))
+    world.tell(*(api.LoadReport(0, 9, 1, 0, 0.2, 10.0, (0.01, 0.0, 3.0)) for _ in range(5)))
+    world.run(5)
+    fleet = max(world.director.capacity(s) for s in (1, 2, 3, 4))
+    assert world.director.capacity(9) <= 1.1 * fleet
+
+
+def test_senseless_reports_change_no_estimate() -> None:
+    world = World()
+    world.run(10)
+    before = {s: v.capacity for s, v in world.director.servers.items()}
+    world.tell(
+        api.LoadReport(0, 1, 5, 0, 0.2, 0.0, (0.5,)),
+        api.LoadReport(0, 1, 5, 9, 0.2, 1.0, (0.5,)),
+        api.LoadReport(0, 77, 5, 0, 0.2, 1.0, (0.5,)),
+        api.LoadReport(0, 1, 0, 0, 0.0, 1.0, (float("nan"),)),
+        api.SliceHeat(3, 0, 10, 0, 0.0),
+        api.SliceHeat(999, 0, 10, 0, 1.0),
+        api.ProbeResult(77, 0, 0.1, ()),
+    )
+    assert {s: v.capacity for s, v in world.director.servers.items()} == before
+
+
+def test_restarted_assigner_takes_the_store_for_its_default_map() -> None:
+    world = World()
+    fresh = World(servers=(1, 2, 3, 4))
+    fresh.run(8)
+    assert [v.default for _, v in sorted(fresh.director.slices.items())] == [
+        v.default for _, v in sorted(world.director.slices.items())
+    ]
+    assert fresh.moves() == 0
+
+
+def test_failed_list_call_is_asked_again() -> None:
+    world = World(list_is_asked=True)
+    world.tell(api.ServerList("failed", 0, ()))
+    mark = len(world.log)
+    world.run(2)
+    assert any(isinstance(a, api.WatchList) for _, acts in world.log[mark:] for a in acts)
--- /dev/null
+++ b/tests/test_ordinary_path.py
@@ -0,0 +1,99 @@
+"""The mechanism on ordinary days: default map, threshold, ordered detours, changed tables only."""
+
+from puffintide import interface as api
+from tests.world import World
+
+HOME = range(0, 40, 4)  # the slices of server 1 in a world of 40 slices and four servers
+
+
+def busy_first(world: World) -> None:
+    """A light fleet whose first server then gets more than it can do."""
+    for number in world.heat:
+        world.heat[number] = 1.2
+    world.run(5)
+    for number in HOME:
+        world.heat[number] = 3.4
+    world.run(20)
+
+
+def test_quiet_fleet_keeps_its_default_map() -> None:
+    world = World()
+    before = {n: set(t) for n, t in world.tables.items()}
+    world.run(20)
+    assert all(world.main(n) == before[n] for n in before)
+    assert world.moves() == 0
+
+
+def test_every_table_gets_a_standby_line_once() -> None:
+    world = World()
+    world.run(10)
+    lines = [a for _, acts in world.log for a in acts if isinstance(a, api.SetLine)]
+    assert len(lines) == world.settings.slices
+    assert all(len(t) == 2 for t in world.tables.values())
+
+
+def test_overloaded_server_sheds_to_alternates_with_room() -> None:
+    world = World(slices=40)
+    busy_first(world)
+    assert world.load(1) <= 0.95 * world.capacity[1]
+    assert all(world.load(s) <= world.capacity[s] for s in world.capacity)
+
+
+def test_detoured_slices_go_home_when_the_default_has_room_again() -> None:
+    world = World(slices=40)
+    busy_first(world)
+    assert any(world.main(n) != {1} for n in HOME)
+    for number in HOME:
+        world.heat[number] = 1.0
+    world.run(25)
+    assert all(world.main(n) == {1} for n in HOME)
+
+
+def test_hot_slice_is_spread_over_several_servers() -> None:
+    world = World()
+    world.run(5)
+    world.heat[0] = 35.0
+    world.run(15)
+    assert len(world.main(0)) >= 2
+
+
+def test_hot_slice_keeps_one_owner_where_there_is_a_single_writer() -> None:
+    world = World(single_writer=True)
+    world.run(5)
+    world.heat[0] = 35.0
+    world.run(15)
+    assert all(len(t) <= 1 or len(world.main(n)) == 1 for n, t in world.tables.items())
+    assert len(world.director.slices[0].lines) == 1
+
+
+def test_noise_at_the_threshold_does_not_flip_slices() -> None:
+    world = World()
+    world.run(5)
+    for number in (0, 4, 8):
+        world.heat[number] = 8.7
+    for step in range(20):
+        world.heat[0] = 8.7 + (0.6 if step % 2 else -0.6)
+        world.run(1)
+    assert world.moves() <= 4
+
+
+def test_stale_reports_hold_the_ordinary_plan_still() -> None:
+    world = World()
+    world.run(10)
+    world.silent_reports = True
+    world.run(5)
+    before = len(world.log)
+    world.heat[0] = 40.0
+    world.run(10)
+    late = [a for _, acts in world.log[before:] for a in acts if isinstance(a, api.SetLine)]
+    assert not late
+
+
+def test_same_events_give_the_same_actions() -> None:
+    logs = []
+    for _ in range(2):
+        world = World()
+        world.heat[3] = 25.0
+        world.run(10)
+        logs.append(world.log)
+    assert logs[0] == logs[1]
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,168 @@
+"""The five rules, each kept by one assigner on its own."""
+
+from itertools import pairwise
+
+import pytest
+
+from puffintide import interface as api
+from tests.world import World, server
+
+
+def used(world: World, sid: int) -> list[int]:
+    return [n for n, t in world.tables.items() if sid in t]
+
+
+@pytest.mark.parametrize("state", [api.DRAINING, api.GONE])
+def test_drained_server_leaves_every_table_within_a_round(state: int) -> None:
+    world = World()
+    world.run(10)
+    world.tell(api.ServerList("delta", 2, (server(1, state),)))
+    world.run(0.5)
+    assert used(world, 1) == []
+    assert all(world.tables.values())
+
+
+def test_server_missing_from_a_full_list_is_gone() -> None:
+    world = World()
+    world.run(5)
+    world.tell(api.ServerList("full", 9, (server(2), server(3), server(4))))
+    world.run(0.5)
+    assert used(world, 1) == []
+
+
+def test_slice_given_later_with_a_drained_server_is_moved_at_once() -> None:
+    world = World()
+    world.run(5)
+    world.tell(api.ServerList("delta", 2, (server(1, api.DRAINING),)))
+    world.run(2)
+    world.tell(api.SliceCharge(5, False))
+    world.tables[5] = {1: 1.0}
+    world.tell(api.SliceCharge(5, True), api.StoredLine(5, 1, 1.0))
+    world.run(0.5)
+    assert world.tables[5] and 1 not in world.tables[5]
+
+
+def test_slice_with_an_empty_table_gets_a_line() -> None:
+    world = World()
+    world.run(5)
+    world.tables[5] = {}
+    world.tell(api.SliceCharge(5, False))
+    world.tell(api.SliceCharge(5, True))
+    world.run(0.5)
+    assert world.tables[5]
+
+
+def test_nothing_is_ordered_for_a_slice_taken_back() -> None:
+    world = World()
+    world.run(5)
+    world.tell(api.SliceCharge(5, False))
+    mark = len(world.log)
+    world.tell(api.ServerList("delta", 2, (server(2, api.GONE),)))
+    world.run(3)
+    later = [a for _, acts in world.log[mark:] for a in acts if isinstance(a, api.SetLine)]
+    assert later and all(a.table != 5 for a in later)
+
+
+def test_no_table_is_left_empty_while_a_server_is_ready() -> None:
+    world = World()
+    world.run(5)
+    for sid in (1, 2, 3):
+        world.tell(api.ServerList("delta", 2, (server(sid, api.GONE),)))
+        world.run(1)
+        assert all(world.tables.values())
+
+
+def test_added_lines_come_before_removed_ones() -> None:
+    world = World()
+    world.run(5)
+    world.tell(api.ServerList("delta", 2, (server(1, api.GONE),)))
+    world.run(1)
+    for _, actions in world.log:
+        seen_removal: set[int] = set()
+        for action in actions:
+            if isinstance(action, api.SetLine) and action.weight == 0:
+                seen_removal.add(action.table)
+            elif isinstance(action, api.SetLine):
+                assert action.table not in seen_removal
+
+
+@pytest.mark.parametrize("default", [0, 1])
+def test_retries_never_go_past_proof_for_once(default: int) -> None:
+    world = World(retry_default=default)
+    world.run(10)
+    orders = [a for _, acts in world.log for a in acts if isinstance(a, api.Admit)]
+    for order in orders:
+        assert order.retry <= 1 or not (order.classes == 0 or order.classes & 0b10)
+
+
+def test_returning_server_is_filled_by_its_present_capacity() -> None:
+    world = World()
+    world.run(10)
+    world.tell(api.ServerList("delta", 2, (server(1, api.GONE),)))
+    world.run(10)
+    world.tell(api.ServerList("delta", 3, (server(1, started=world.now),)))
+    born = world.now
+    for _ in range(16):
+        world.run(0.5)
+        share = 0.25 + 0.75 * min(1.0, (world.now - born) / 10.0)
+        assert world.load(1) <= share * 30.0
+
+
+def test_restart_shown_only_by_a_start_time_sheds_what_is_too_much() -> None:
+    world = World()
+    for number in (0, 4, 8):
+        world.heat[number] = 7.0
+    world.run(10)
+    world.tell(api.ServerList("delta", 2, (server(1, started=world.now),)))
+    world.run(1.5)
+    assert world.load(1) <= 0.5 * 30.0
+
+
+@pytest.mark.parametrize("instances", [1, 3])
+def test_cold_part_is_one_of_all_assigners(instances: int) -> None:
+    world = World(instances=instances, slices=12)
+    world.run(10)
+    world.tell(api.ServerList("delta", 2, (server(9, started=world.now),)))
+    for number in world.heat:
+        world.heat[number] = 12.0
+    world.capacity[9] = 30.0
+    world.run(1.5)
+    assert world.load(9) <= 0.5 * 30.0 / instances
+
+
+def test_channel_lines_are_counted_before_sending() -> None:
+    world = World(channel_limit=200.0, channel_lines_per_s=100.0)
+    waiting, last = 0.0, world.now
+    for sid in (1, 2):
+        world.run(3)
+        world.tell(api.ServerList("delta", 2, (server(sid, api.GONE),)))
+    world.run(5)
+    for at, actions in world.log:
+        waiting = max(0.0, waiting - (at - last) * 100.0)
+        last = at
+        lines = sum(isinstance(a, api.SetLine | api.Admit) for a in actions)
+        waiting += (lines + 12) * 3 if lines else 0
+        assert waiting <= 200.0
+
+
+def test_messages_per_proxy_stay_under_the_limit() -> None:
+    world = World(messages_most=6, messages_span_s=10.0)
+    for step in range(40):
+        sid = 1 + step % 4
+        state = api.GONE if step % 2 else api.READY
+        world.tell(api.ServerList("delta", step, (server(sid, state),)))
+        world.run(0.5)
+    sent = [at for at, acts in world.log if any(isinstance(a, api.SetLine | api.Admit) for a in acts)]
+    for first in sent:
+        assert sum(first <= at < first + 10.0 for at in sent) <= 6
+
+
+def test_ordinary_changes_are_batched() -> None:
+    world = World()
+    world.run(5)
+    for step in range(20):
+        world.heat[step % 3] = 1.0 + 30.0 * (step // 3 % 2)
+        world.run(0.5)
+    sent = [at for at, acts in world.log if any(isinstance(a, api.SetLine) for a in acts)]
+    assert len(sent) > 3
+    assert all(later - earlier >= 0.99 for earlier, later in pairwise(sent[1:]))
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,130 @@
+"""Helpers for tests: settings, and a clock that feeds a Director and keeps the tables it has ordered."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import replace
+from typing import Any
+
+from puffintide import interface as api
+from puffintide.policy import Director
+
+START = 1000.0
+
+
+def settings(**changes: Any) -> api.Settings:
+    safe = api.RequestClass("repeatable", "all", 0.0, 1.0, 4.0, 3.0, False)
+    once = api.RequestClass("once", "all", 0.0, 1.5, 5.0, 5.0, False)
+    base = api.Settings(
+        instance=0,
+        instances=1,
+        seed=7,
+        zone=0,
+        zones=2,
+        classes=(safe, once),
+        slices=12,
+        proxies=3,
+        single_writer=False,
+        warm_keys=True,
+        retry_default=0,
+        retry_wait_aims=1.0,
+        admit="silent",
+        channel_lines_per_s=10000.0,
+        channel_head_lines=12.0,
+        channel_limit=15000.0,
+        channel_delay_s=0.2,
+        channel_delay_max_s=0.8,
+        messages_most=0,
+        messages_span_s=10.0,
+        report_period_s=0.5,
+        report_lines_per_s=300.0,
+        report_names=("busy",),
+        probes=False,
+        list_is_asked=False,
+        drain_grace_s=2.0,
+        cold_from=0.25,
+        warm_within_s=10.0,
+        fall_multiple=3.0,
+        fall_s=1.5,
+        bare_s=3.0,
+    )
+    return replace(base, **changes)
+
+
+def server(sid: int, state: int = api.READY, started: float = 0.0, weight: float = 1.0) -> api.Server:
+    return api.Server(sid, sid % 2, 0, 0, state, weight, started)
+
+
+class World:
+    """One assigner, its servers and the store; rates are given, loads follow from the tables."""
+
+    def __init__(self, servers: Sequence[int] = (1, 2, 3, 4), **changes: Any) -> None:
+        self.settings = settings(**changes)
+        self.director = Director(self.settings)
+        self.now = START
+        self.tables: dict[int, dict[int, float]] = {}
+        self.log: list[tuple[float, list[api.Action]]] = []
+        self.heat = dict.fromkeys(range(self.settings.slices), 5.0)
+        self.capacity = dict.fromkeys(servers, 30.0)
+        self.mute: set[int] = set()
+        self.silent_reports = False
+        events: list[api.Event] = [api.ServerList("cached", 1, tuple(server(s) for s in servers))]
+        events += [api.ProxyJoined(p, 0, 10.0, True) for p in range(self.settings.proxies)]
+        for number in range(self.settings.slices):
+            home = servers[number % len(servers)]
+            events += [api.SliceCharge(number, True), api.StoredLine(number, home, 1.0)]
+            self.tables[number] = {home: 1.0}
+        self.tell(*events)
+
+    def tell(self, *events: api.Event) -> list[api.Action]:
+        actions = self.director.handle(self.now, events)
+        self.log.append((self.now, actions))
+        for action in actions:
+            if isinstance(action, api.SetLine):
+                table = self.tables.setdefault(action.table, {})
+                if action.weight > 0:
+                    if self.settings.single_writer:
+                        table.clear()
+                    table[action.server] = action.weight
+                else:
+                    table.pop(action.server, None)
+        return actions
+
+    def load(self, sid: int) -> float:
+        total = 0.0
+        for number, table in self.tables.items():
+            if sid in table:
+                total += self.heat[number] * table[sid] / sum(table.values())
+        return total
+
+    def run(self, seconds: float) -> None:
+        """Rounds of 0.25 s with reports each 0.5 s."""
+        for step in range(round(seconds * 4)):
+            self.now += 0.25
+            events: list[api.Event] = [api.TimerDue(1)]
+            if step % 2 == 0 and not self.silent_reports:
+                events = self.reports() + events
+            self.tell(*events)
+
+    def reports(self) -> list[api.Event]:
+        events: list[api.Event] = []
+        for number, rate in sorted(self.heat.items()):
+            events.append(api.SliceHeat(number, 0, round(rate * 10), 0, 10.0))
+        for sid, capacity in sorted(self.capacity.items()):
+            rate = self.load(sid)
+            tries = round(rate * 10)
+            if tries == 0:
+                continue
+            good = 0 if sid in self.mute else round(min(rate, capacity) * 10)
+            values = () if sid in self.mute else (min(1.0, rate / capacity),)
+            events.append(api.LoadReport(0, sid, tries, tries - good, 0.2, 10.0, values))
+        return events
+
+    def main(self, number: int) -> set[int]:
+        """The servers that carry a slice, standby lines left out."""
+        table = self.tables[number]
+        top = max(table.values(), default=0.0)
+        return {s for s, w in table.items() if w > top / 2}
+
+    def moves(self) -> int:
+        return sum(isinstance(a, api.SetLine) and a.weight >= 1 for _, acts in self.log for a in acts)
