--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -10,7 +10,7 @@
 import math
 import zlib
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from puffintide import interface as api
 
@@ -42,6 +42,10 @@
 STEP_S = 2.0  # time without trouble for each level up
 LEVELS = (0.0, 0.15, 0.4, 1.0)
 REHOME_S = 20.0  # a default gone for this long is replaced by where the slice is now
+SHED_AT = 1.0  # demand over the fleet's capacity from which less is let in
+SHED_TO = 0.85  # and down to which
+LEVEL_LEAST = 0.2  # no class is refused more than all but this
+LEVEL_STEP = 0.08  # smaller changes of a level are not worth a message
 BACKLOG = 0.5  # part of the channel's limit that ordinary changes may fill
 SLOW_CHANNEL = 0.5  # the channel is counted on for this part of its stated speed
 USUAL = 0.5  # load that a fleet answering unhurried is taken to have at most, where nothing reports it
@@ -104,7 +108,6 @@
     heat: dict[int, Rate] = field(default_factory=dict)  # by class
     places: list[int] = field(default_factory=list)  # servers that share it evenly
     moved: float = -math.inf
-    given: bool = True
 
 
 class Director:
@@ -120,12 +123,13 @@
         self.started = False
         self.urgent = False
         self.next_publish = 0.0
-        self.next_watch = math.inf
+        self.next_watch = 0.0 if settings.list_is_asked else math.inf
         self.next_probe: dict[int, float] = {}
         self.waiting = 0.0  # lines thought to be in the channel
         self.drained = 0.0
         self.sent: list[float] = []  # times of past publishes, each at most one message a proxy
-        self.levels_due: set[int] | bool = False
+        self.levels_due = False
+        self.levels: dict[int, float] = {}  # share of each class let in
         self.reported = -math.inf  # when anything was last heard from proxies
         self.per_size: float | None = None  # capacity of a server of listed size 1, fleet-wide
         self.unhurried: float | None = None  # answer time of the quicker servers when little waits
@@ -133,11 +137,9 @@
 
     def handle(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
         self.now, self.actions = now, []
-        due = not self.started
-        if not self.started:
-            self.start()
+        due = not self.started or any(isinstance(event, api.TimerDue) for event in events)
+        self.started = True
         for event in events:
-            due = (isinstance(event, api.TimerDue) and event.name == ROUND_TIMER) or due
             self.observe(event)
         if due or self.urgent:
             self.round()
@@ -145,25 +147,17 @@
             self.actions.append(api.SetTimer(ROUND_S, ROUND_TIMER))
         return self.actions
 
-    def start(self) -> None:
-        self.started = True
-        self.drained = self.next_publish = self.now
-        if self.set.list_is_asked:
-            self.watch()
-
     def round(self) -> None:
         if self.now >= self.next_watch:
-            self.watch()
+            self.actions.append(api.WatchList(True))
+            self.next_watch = math.inf
         self.judge_health()
         self.probe()
         self.estimate()
         plan = self.detour(self.project())
+        self.shed()
         self.publish(plan)
 
-    def watch(self) -> None:
-        self.actions.append(api.WatchList(True))
-        self.next_watch = math.inf
-
     # Observe ------------------------------------------------------------------------------------
 
     def observe(self, event: api.Event) -> None:
@@ -174,18 +168,15 @@
                 view = self.slices.get(event.slice)
                 if view is not None and event.span_s > 0:
                     self.reported = self.now
-                    view.heat.setdefault(event.request_class, Rate()).add(
-                        self.now, event.requests, event.span_s
-                    )
+                    rate = view.heat.setdefault(event.request_class, Rate())
+                    rate.add(self.now, event.requests, event.span_s)
             case api.ServerList():
                 self.see_list(event)
             case api.SliceCharge():
+                self.slices.pop(event.slice, None)
                 if event.given:
                     self.slices[event.slice] = SliceView()
-                    self.urgent = True
-                    self.levels_due = True
-                else:
-                    self.slices.pop(event.slice, None)
+                    self.urgent = self.levels_due = True
             case api.StoredLine():
                 view = self.slices.get(event.slice)
                 if view is not None and event.weight > 0:
@@ -200,8 +191,6 @@
                 self.proxies.discard(event.proxy)
             case api.ProbeResult():
                 self.see_probe(event)
-            case _:
-                pass
 
     def see_list(self, event: api.ServerList) -> None:
         if event.kind == "failed":
@@ -214,25 +203,19 @@
                 self.servers[entry.id] = view = ServerView(entry, self.now)
             elif entry.state == api.READY and entry.started > view.entry.started:
                 # A restart: what was learned of its load is void, its size is not.
-                self.servers[entry.id] = fresh = ServerView(entry, self.now)
-                fresh.capacity = view.capacity
-                view = fresh
+                view = ServerView(entry, self.now, capacity=view.capacity)
+                self.servers[entry.id] = view
             if entry.state != api.READY and view.entry.state == api.READY:
                 self.urgent = True
             view.entry = entry
         if event.kind != "delta":
             for sid, view in sorted(self.servers.items()):
                 if sid not in listed and view.entry.state != api.GONE:
-                    old = view.entry
-                    view.entry = api.Server(
-                        old.id, old.zone, old.kind, old.cell, api.GONE, old.weight, old.started
-                    )
+                    view.entry = replace(view.entry, state=api.GONE)
                     self.urgent = True
         for view in self.servers.values():
-            if view.entry.state != api.GONE:
-                view.gone_since = None
-            elif view.gone_since is None:
-                view.gone_since = self.now
+            gone = view.entry.state == api.GONE
+            view.gone_since = (view.gone_since or self.now) if gone else None
 
     def see_load(self, event: api.LoadReport) -> None:
         view = self.servers.get(event.server)
@@ -263,11 +246,9 @@
 
     def see_probe(self, event: api.ProbeResult) -> None:
         view = self.servers.get(event.server)
-        if view is None:
-            return
-        if event.status in (3, 4, 5):
+        if view is not None and event.status in (3, 4, 5):
             view.missed, view.answered = view.missed + 1, 0
-        elif event.status == 0:
+        elif view is not None and event.status == 0:
             view.missed, view.answered = 0, view.answered + 1
             self.see_values(view, event.values)
 
@@ -324,19 +305,15 @@
             ready = calm > STEP_S * (2 if idle else 1)
         if ready:
             view.level, view.level_since = view.level + 1, self.now
-            view.failing, view.missed = None, 0
-            view.load = None
+            view.failing, view.missed, view.load = None, 0, None
 
     def probe(self) -> None:
-        if not self.set.probes:
-            return
-        for sid in sorted(self.servers):
+        for sid in sorted(self.servers) if self.set.probes else []:
             if self.ready(sid) and self.now >= self.next_probe.get(sid, 0.0):
                 self.actions.append(api.Probe(sid))
-                # Spread by id so that not all go out at once.
-                first = sid not in self.next_probe
-                spread = zlib.crc32(f"{sid}".encode()) % 1000 / 1000
-                self.next_probe[sid] = self.now + PROBE_S * (spread if first else 1.0)
+                # The first wait is spread by id so that not all go out at once.
+                spread = 1.0 if sid in self.next_probe else zlib.crc32(f"{sid}".encode()) % 1000 / 1000
+                self.next_probe[sid] = self.now + PROBE_S * spread
 
     # Project ------------------------------------------------------------------------------------
 
@@ -350,6 +327,10 @@
         window = max(2 * WINDOW_S, 3 * (view.interval or 1.0))
         return sum(r.value or 0.0 for r in rates.values() if self.now - r.heard < window)
 
+    def mine(self) -> float:
+        """The share of all slices in this assigner's charge, which stands for its share of the traffic."""
+        return max(1, len(self.slices)) / max(1, self.set.slices)
+
     def served(self, view: ServerView) -> float:
         """Good answers a second that this assigner's proxies had from the server."""
         return self.recent(view, view.good)
@@ -378,19 +359,13 @@
         ready = [v for sid, v in sorted(self.servers.items()) if self.ready(sid) and v.entry.weight > 0]
         if "busy" not in self.set.report_names:
             self.read_inflight(ready)
-        mine = max(1, len(self.slices)) / max(1, self.set.slices)
         for v in ready:
-            rate = self.served(v)
-            if self.set.instances > 1 or v.load is None or rate <= 0 or self.warmth(v.entry.id) < 1:
-                continue
-            if v.load > IDLE:
-                v.capacity = learn(v.capacity, rate / v.load)
-        total = sum(v.entry.weight for v in ready if v.load is not None)
+            if v.load and v.load > IDLE and self.served(v) > 0 and self.warmth(v.entry.id) >= 1:
+                v.capacity = learn(v.capacity, self.served(v) / v.load)
         work = sum(v.entry.weight * v.load for v in ready if v.load is not None)
-        if total > 0 and work > 0.1 * total:
-            rate = sum(self.served(v) for v in ready if v.load is not None) / mine
-            if rate > 0:
-                self.per_size = learn(self.per_size, rate / work)
+        rate = sum(self.served(v) for v in ready if v.load is not None) / self.mine()
+        if rate > 0 and work > IDLE / 2 * sum(v.entry.weight for v in ready if v.load is not None):
+            self.per_size = learn(self.per_size, rate / work)
         if self.set.instances > 1 and self.per_size is not None:
             # A service time tells a server's pace between idling, when it is the probes', and crowding,
             # when all are slow. What the pace misses shows up as foreign load and is shed all the same.
@@ -408,19 +383,16 @@
     def capacity(self, sid: int) -> float:
         """What the server can do now, all assigners together."""
         view = self.servers[sid]
-        known = view.capacity
-        if known is None:
-            known = (self.per_size or 0.0) * view.entry.weight
+        known = view.capacity or (self.per_size or 1.0) * view.entry.weight
         return known * LEVELS[view.level] * self.warmth(sid)
 
     def project(self) -> dict[int, list[int]]:
         """Every slice on its default server; a slice hotter than its server's part gets more places."""
         plan: dict[int, list[int]] = {}
         for number, view in sorted(self.slices.items()):
-            if view.default is not None:
-                home = self.servers.get(view.default)
-                if home and home.gone_since is not None and self.now - home.gone_since > REHOME_S:
-                    view.default = next((s for s in view.places if self.ready(s)), view.default)
+            home = None if view.default is None else self.servers.get(view.default)
+            if home and home.gone_since is not None and self.now - home.gone_since > REHOME_S:
+                view.default = next((s for s in view.places if self.ready(s)), view.default)
             plan[number] = [] if view.default is None else [view.default]
         return plan
 
@@ -434,7 +406,7 @@
     def detour(self, plan: dict[int, list[int]]) -> dict[int, list[int]]:
         can = {sid: self.capacity(sid) for sid in sorted(self.servers) if self.ready(sid)}
         load = {sid: self.servers[sid].foreign or 0.0 for sid in can}
-        usable = {sid for sid in can if self.servers[sid].level > 0}
+        usable = {sid for sid in can if self.servers[sid].level > 0} or set(can)
         warm = {sid for sid in usable if self.warmth(sid) >= 1}
         part: dict[int, float] = {}
         pieces: dict[int, int] = {}
@@ -503,8 +475,7 @@
             home = plan[number][0] if plan[number] else None
             if home in usable:
                 continue
-            new = place(number)
-            new = roomiest(number) if new is None else new
+            new = place(number) or roomiest(number)
             if new is not None:
                 move(number, home, new)
             elif home is not None and not self.ready(home):
@@ -537,16 +508,38 @@
                 move(number, None, target)
         return plan
 
+    def shed(self) -> None:
+        """Lets in less when the whole fleet is short, classes of least worth for their work first. What a
+        class costs is not told: its wanted time stands for it. Refusals go out at once, by the proxies."""
+        if self.set.admit != "fraction" or not self.slices:
+            return
+        room = self.mine() * sum(self.capacity(s) for s in sorted(self.servers) if self.ready(s))
+        offered = dict.fromkeys(range(len(self.set.classes)), 0.0)
+        for _, view in sorted(self.slices.items()):
+            for number, rate in view.heat.items():
+                offered[number] += rate.value or 0.0
+        demand = sum(offered.values())
+        levels = dict.fromkeys(offered, 1.0)
+        if demand > room * (SHED_TO if min(self.levels.values(), default=1.0) < 1 else SHED_AT):
+            work = {k: rate * self.set.classes[k].aim_s for k, rate in offered.items()}
+            excess = sum(work.values()) * (1 - room * SHED_TO / demand)
+            for k in sorted(work, key=lambda k: self.set.classes[k].worth / self.set.classes[k].aim_s):
+                if work[k] > 0:
+                    levels[k] = max(LEVEL_LEAST, 1 - excess / work[k])
+                    excess -= work[k] * (1 - levels[k])
+        steps = {k: abs(level - self.levels.get(k, 1.0)) for k, level in levels.items()}
+        if max(steps.values()) >= LEVEL_STEP or (max(steps.values()) > 0 and min(levels.values()) == 1):
+            self.levels, self.levels_due = levels, True
+
     # Guard and publish --------------------------------------------------------------------------
 
     def table(self, number: int, places: list[int]) -> dict[int, float]:
         """The lines for a slice: its places, and a standby where a proxy's further try can go."""
         lines = dict.fromkeys(places, 1.0)
-        if places and not self.set.single_writer and len(places) == 1:
-            for sid in self.ranking(number):
-                if sid not in lines and self.warmth(sid) >= 1 and self.servers[sid].level == len(LEVELS) - 1:
-                    lines[sid] = STANDBY
-                    break
+        if len(places) == 1 and not self.set.single_writer:
+            whole = [s for s in self.ranking(number) if self.servers[s].level == len(LEVELS) - 1]
+            whole = [s for s in whole if s not in lines and self.warmth(s) >= 1]
+            lines.update(dict.fromkeys(whole[:1], STANDBY))
         return lines
 
     def publish(self, plan: dict[int, list[int]]) -> None:
@@ -555,9 +548,8 @@
         self.drained = self.now
         ordinary = self.now >= self.next_publish
         self.sent = [t for t in self.sent if t > self.now - self.set.messages_span_s - 1]
-        if self.set.messages_most and len(self.sent) >= self.set.messages_most - 2:
-            return
-        if not ordinary and not self.urgent:
+        full = self.set.messages_most and len(self.sent) >= self.set.messages_most - (1 if self.urgent else 5)
+        if full or not (ordinary or self.urgent):
             return
         stale = self.now - self.reported > STALE_S + 2 * self.set.report_period_s
         must: list[int] = []
@@ -565,15 +557,13 @@
         for number, view in sorted(self.slices.items()):
             lost = [s for s in view.lines if not self.ready(s)]
             dead = [s for s in view.places if s in self.servers and self.servers[s].level == 0]
-            if lost or dead or not view.lines:
-                must.append(number)
-            elif ordinary and not stale:
-                may.append(number)
+            pick = must if lost or dead or not view.lines else may
+            pick.append(number)
         proxies = max(1, len(self.proxies))
         budget = self.set.channel_limit - self.waiting - self.set.channel_head_lines * proxies
         spent = 0.0
         orders: list[api.Action] = []
-        for number in must + may:
+        for number in must + (may if ordinary and not stale else []):
             changes = self.changes(number, plan[number])
             cost = len(changes) * proxies
             limit = 0.9 if number in must else BACKLOG
@@ -598,7 +588,7 @@
         old, new = self.slices[number].lines, self.table(number, places)
         if self.set.single_writer:
             return [api.SetLine(number, s, 1.0) for s in new if s not in old]
-        added = [api.SetLine(number, s, w) for s, w in sorted(new.items()) if old.get(s) != w]
+        added = [api.SetLine(number, s, w) for s, w in sorted(new.items()) if abs(old.get(s, 0.0) - w) > 1e-6]
         return added + [api.SetLine(number, s, 0.0) for s in sorted(old) if s not in new]
 
     def commit(self, number: int, places: list[int]) -> None:
@@ -611,6 +601,6 @@
 
     def retry_orders(self) -> list[api.Action]:
         """One further try, elsewhere, after proof that the first never ran: safe for every class."""
-        if self.set.retry_default >= 1:
-            return []
-        return [api.Admit(api.ALL_TABLES, 0, 1.0, 1)]
+        if self.levels:
+            return [api.Admit(api.ALL_TABLES, 1 << k, v, 1) for k, v in sorted(self.levels.items())]
+        return [] if self.set.retry_default >= 1 else [api.Admit(api.ALL_TABLES, 0, 1.0, 1)]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -166,3 +166,38 @@
     sent = [at for at, acts in world.log if any(isinstance(a, api.SetLine) for a in acts)]
     assert len(sent) > 3
     assert all(later - earlier >= 0.99 for earlier, later in pairwise(sent[1:]))
+
+
+def test_tables_are_kept_when_only_ejected_servers_are_left() -> None:
+    world = World(servers=(1, 2, 3))
+    world.run(10)
+    world.mute.add(1)
+    world.run(6)
+    assert world.director.servers[1].level == 0
+    world.tell(api.ServerList("delta", 2, (server(2, api.GONE), server(3, api.GONE))))
+    world.run(1)
+    assert all(set(t) == {1} for t in world.tables.values())
+
+
+def test_fleet_short_of_capacity_lets_in_less_of_the_cheapest_class() -> None:
+    world = World(admit="fraction")
+    world.run(5)
+    for number in world.heat:
+        world.heat[number] = 16.0
+    world.run(15)
+    levels = world.director.levels
+    assert min(levels.values()) < 0.9
+    orders = [a for _, acts in world.log for a in acts if isinstance(a, api.Admit) and a.level < 1]
+    assert orders and all(a.table == api.ALL_TABLES for a in orders)
+    for number in world.heat:
+        world.heat[number] = 3.0
+    world.run(20)
+    assert min(world.director.levels.values()) == 1
+
+
+def test_one_crowded_server_in_a_light_fleet_refuses_nobody() -> None:
+    world = World(admit="fraction", slices=40)
+    for number in world.heat:
+        world.heat[number] = 1.0 if number % 4 else 3.6
+    world.run(20)
+    assert not [a for _, acts in world.log for a in acts if isinstance(a, api.Admit) and a.level < 1]
