--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -380,11 +380,11 @@
                     other = v.load * v.capacity * self.warmth(v.entry.id) - self.served(v)
                     v.foreign = smooth(v.foreign, max(0.0, other), ROUND_S, STEADY_S)
 
-    def capacity(self, sid: int) -> float:
-        """What the server can do now, all assigners together."""
+    def capacity(self, sid: int, whole: bool = False) -> float:
+        """What the server can do now, all assigners together; whole: whatever its level."""
         view = self.servers[sid]
         known = view.capacity or (self.per_size or 1.0) * view.entry.weight
-        return known * LEVELS[view.level] * self.warmth(sid)
+        return known * (1.0 if whole else LEVELS[view.level]) * self.warmth(sid)
 
     def project(self) -> dict[int, list[int]]:
         """Every slice on its default server; a slice hotter than its server's part gets more places."""
@@ -406,7 +406,9 @@
     def detour(self, plan: dict[int, list[int]]) -> dict[int, list[int]]:
         can = {sid: self.capacity(sid) for sid in sorted(self.servers) if self.ready(sid)}
         load = {sid: self.servers[sid].foreign or 0.0 for sid in can}
-        usable = {sid for sid in can if self.servers[sid].level > 0} or set(can)
+        usable = {sid for sid in can if self.servers[sid].level > 0}
+        if not usable:  # ejected servers are better than none
+            usable, can = set(can), {sid: self.capacity(sid, whole=True) for sid in can}
         warm = {sid for sid in usable if self.warmth(sid) >= 1}
         part: dict[int, float] = {}
         pieces: dict[int, int] = {}
@@ -464,7 +466,7 @@
             if not view.places or home is None or home in view.places:
                 continue
             held = next((s for s in view.places if s in usable), None)
-            if held is None or load[held] + part[number] > FULL * can[held]:
+            if held is None or load[held] + part[number] > SHORT * can[held]:
                 continue
             recent = self.now - view.moved < HOLD_S
             if home not in usable or recent or load[home] > RETURN * can[home]:
@@ -501,7 +503,7 @@
         for number in sorted(self.slices):
             while plan[number] and len(plan[number]) < pieces[number]:
                 kept = [s for s in self.slices[number].places if s in usable and s not in plan[number]]
-                kept = [s for s in kept if load[s] + part[number] <= FULL * can[s]]
+                kept = [s for s in kept if load[s] + part[number] <= SHORT * can[s]]
                 target = kept[0] if kept else place(number) or roomiest(number)
                 if target is None or load[target] + cost(number, target) > SHORT * can[target]:
                     break
