In a shortage shares are taken of the mean load, in place of evening out

Cause on porto overload: with no room anywhere, slices hopped between servers that were all full, and lost their caches on the way.

--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -20,8 +20,7 @@
 FULL = 0.85  # share of capacity above which a server sheds slices
 ROOM = 0.75  # share of capacity up to which an alternate takes more
 RETURN = 0.65  # a detoured slice goes home only if its default would stay below this
-SHORT = 1.0  # above this share, with no room anywhere, slices go where the shortage is smaller
-EVEN = 0.25  # by this share of capacity at least
+SHORT = 1.0  # share of capacity that a slice which stands elsewhere may fill its server to
 HOLD_S = 6.0  # a slice that moved by choice stays at least this long
 STEADY_S = 8.0  # memory of capacity and of other assigners' load, which change slowly
 IDLE = 0.15  # a server reporting less load than this tells little of its capacity
@@ -425,6 +424,10 @@
                 if sid in load:
                     load[sid] += part[number] * (1.0 if self.warmth(sid) >= 1 else COLD_MISS)
 
+        # In a shortage the shares of capacity are taken of what each must bear, so that it is shared evenly.
+        short = sum(load[s] for s in warm) / max(ROOM * sum(can[s] for s in warm), 1e-9)
+        can = {sid: able * (max(1.0, short) if sid in warm else 1.0) for sid, able in can.items()}
+
         def cost(number: int, sid: int) -> float:
             """What the slice weighs there: dearer where its keys are not cached. The few keys that make
             a slice hot are soon cached anywhere."""
@@ -491,12 +494,8 @@
                 if plan[number] != [sid] or part[number] <= 0.005 * can[sid]:
                     continue
                 target = place(number)
-                best = roomiest(number) if target is None else None
-                if best is not None:
-                    # No room anywhere: a cold server is spared all the same, others share the shortage.
-                    fuller = load[sid] - (load[best] + cost(number, best)) / can[best] * can[sid]
-                    even = load[sid] > SHORT * can[sid] and fuller > EVEN * can[sid]
-                    target = best if even or (sid not in warm and best in warm) else None
+                if target is None and sid not in warm:  # a cold server is spared all the same
+                    target = next((s for s in [roomiest(number)] if s in warm), None)
                 if target is not None:
                     move(number, sid, target)
         # Further places of slices that are spread.
