--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -9,6 +9,7 @@
 
 import math
 import zlib
+from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
 
@@ -34,6 +35,7 @@
 COLD_MISS = 2.0  # with an empty cache a request may be this much dearer
 STALE_S = 2.5  # beyond the usual lag, reports older than this leave the ordinary plan as it is
 PROBE_S = 0.8
+SILENT_S = 2.0  # time without a good answer before a server is suspect
 PROBES_MISSED = 3
 FAILING = 0.85  # share of failed tries that makes a server suspect
 OUT_MOST = 0.6  # if more of the fleet than this looks bad, the cause is common: nobody is ejected
@@ -47,8 +49,9 @@
 LEVEL_STEP = 0.08  # smaller changes of a level are not worth a message
 BACKLOG = 0.5  # part of the channel's limit that ordinary changes may fill
 SLOW_CHANNEL = 0.5  # the channel is counted on for this part of its stated speed
-USUAL = 0.5  # load that a fleet answering unhurried is taken to have at most, where nothing reports it
-HURRY = 2.0  # an answer time this many times the unhurried one tells of queues
+USUAL = 0.5  # load of the median server, where nothing tells it
+PROBES_KEPT = 200  # latest probes that tell how full servers are
+SLOWED = 1.25  # a probe that takes this many times the server's quickest had to share or wait
 ROUND_TIMER = 1
 
 
@@ -86,6 +89,8 @@
     failing: float | None = None
     load: float | None = None  # busy share, 0 to 1
     inflight: float | None = None
+    latest: float = 0.0  # the in-flight count last reported
+    quickest: float = math.inf  # answer to a probe
     service_s: float | None = None
     capacity: float | None = None
     pace: float = 1.0  # its speed against servers of its size
@@ -131,8 +136,8 @@
         self.levels: dict[int, float] = {}  # share of each class let in
         self.reported = -math.inf  # when anything was last heard from proxies
         self.per_size: float | None = None  # capacity of a server of listed size 1, fleet-wide
-        self.unhurried: float | None = None  # answer time of the quicker servers when little waits
-        self.in_work = 0.0  # requests in work per listed size at a full server, as far as seen
+        self.probed: deque[tuple[float, bool]] = deque(maxlen=PROBES_KEPT)  # in flight per size; slowed?
+        self.in_work = 0.0  # requests in work per listed size at a full server
 
     def handle(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
         self.now, self.actions = now, []
@@ -239,6 +244,7 @@
             if name == "busy" and value <= 1.5:
                 view.load = smooth(view.load, min(value, 1.0), self.set.report_period_s)
             elif name == "rif" and value < 1e5:
+                view.latest = value
                 view.inflight = smooth(view.inflight, value, self.set.report_period_s)
             elif name == "lat_ms" and 0 < value < 1e6:
                 view.service_s = smooth(view.service_s, value / 1000, self.set.report_period_s)
@@ -249,7 +255,11 @@
             view.missed, view.answered = view.missed + 1, 0
         elif view is not None and event.status == 0:
             view.missed, view.answered = 0, view.answered + 1
+            view.quickest = min(view.quickest, event.took_s)
             self.see_values(view, event.values)
+        if view is not None and event.status in (0, 3) and view.inflight is not None:
+            slowed = event.status == 3 or event.took_s > SLOWED * view.quickest
+            self.probed.append((view.latest / max(view.entry.weight, 1e-9), slowed))
 
     # Judge health -------------------------------------------------------------------------------
 
@@ -287,11 +297,11 @@
 
     def suspect(self, view: ServerView, usual: float) -> bool:
         silent = self.now - max(view.last_good, view.level_since, view.since)
-        failing = view.failing is not None and view.failing > FAILING and view.level > 0
-        mute = view.missed >= PROBES_MISSED and silent > 1.5 * usual
         if view.level == 0:
             return view.missed > 0
-        return mute or (failing and silent > usual)
+        failing = view.failing is not None and view.failing > FAILING
+        # One that still answers some is crowded: its low capacity moves slices off, not all at once.
+        return (failing or view.missed >= PROBES_MISSED) and silent > max(1.5 * usual, SILENT_S)
 
     def raise_level(self, view: ServerView) -> None:
         calm = self.now - view.level_since
@@ -335,22 +345,20 @@
         return self.recent(view, view.good)
 
     def read_inflight(self, ready: list[ServerView]) -> None:
-        """A load from requests in flight, where no busy share is reported. A full server has a certain
-        number in work per listed size: a fleet that answers unhurried is taken to be at USUAL of it at
-        most, and while answers are slow, which tells of queues, nothing is learned from their number."""
-        times = {v.entry.id: self.recent(v, v.held) / self.served(v) for v in ready if self.served(v) > 1}
-        if not times:
-            return
-        usual = sorted(times.values())[len(times) // 4]
-        falling = self.unhurried is None or usual < self.unhurried
-        self.unhurried = smooth(self.unhurried, usual, ROUND_S, WINDOW_S if falling else 10 * STEADY_S)
-        if sorted(times.values())[len(times) // 2] < HURRY * self.unhurried:
-            held = sorted(self.recent(v, v.held) / v.entry.weight for v in ready)
-            self.in_work = max(self.in_work, held[len(held) // 2] / USUAL)
+        """A load from requests in flight, where no busy share is reported. A probe is slowed where no core
+        is free: as many servers are full as probes were slowed, and the in-flight count that parts the
+        fleet so is a full server's. Without such probes the median server is taken to be at USUAL."""
+        held = sorted(self.recent(v, v.held) / v.entry.weight for v in ready)
+        if len(self.probed) >= PROBES_KEPT / 5:
+            counts = sorted(count for count, _ in self.probed)
+            free = sum(not slowed for _, slowed in self.probed)
+            self.in_work = counts[min(free, len(counts) - 1)]
+        elif held and held[len(held) // 2] > 0:
+            self.in_work = held[len(held) // 2] / USUAL
         for v in ready:
             own = self.recent(v, v.held)
             total = own if self.set.instances == 1 else max(own, v.inflight or 0.0)
-            if v.entry.id in times and self.in_work > 0:
+            if own > 0 and self.in_work > 0:
                 v.load = min(1.0, total / (v.entry.weight * self.in_work))
 
     def estimate(self) -> None:
