--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -34,6 +34,7 @@
 STANDBY = 0.004  # weight of the second line, where a proxy's further try finds another server
 COLD_MISS = 1.5  # with an empty cache a request may be this much dearer
 STALE_S = 2.5  # beyond the usual lag, reports older than this leave the ordinary plan as it is
+SETTLE_S = 4.0  # after a start, time of reports before the ordinary plan is trusted
 PROBE_S = 0.8
 SILENT_S = 2.0  # time without a good answer before a server is suspect
 PROBES_MISSED = 3
@@ -135,6 +136,7 @@
         self.levels_due = False
         self.levels: dict[int, float] = {}  # share of each class let in
         self.reported = -math.inf  # when anything was last heard from proxies
+        self.first_reported = math.inf
         self.per_size: float | None = None  # capacity of a server of listed size 1, fleet-wide
         self.probed: deque[tuple[float, bool]] = deque(maxlen=PROBES_KEPT)  # in flight per size; slowed?
         self.in_work = 0.0  # requests in work per listed size at a full server
@@ -145,6 +147,7 @@
         self.started = True
         for event in events:
             self.observe(event)
+        self.first_reported = min(self.first_reported, self.now) if self.reported > 0 else math.inf
         if due or self.urgent:
             self.round()
         if due:
@@ -560,7 +563,9 @@
         full = self.set.messages_most and len(self.sent) >= self.set.messages_most - (1 if self.urgent else 5)
         if full or not (ordinary or self.urgent):
             return
+        # Ordinary changes wait while reports are late, and after a start until there are enough of them.
         stale = self.now - self.reported > STALE_S + 2 * self.set.report_period_s
+        stale = stale or self.now - self.first_reported < SETTLE_S
         must: list[int] = []
         may: list[int] = []
         for number, view in sorted(self.slices.items()):
