--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -34,7 +34,7 @@
 STANDBY = 0.004  # weight of the second line, where a proxy's further try finds another server
 COLD_MISS = 1.5  # with an empty cache a request may be this much dearer
 STALE_S = 2.5  # beyond the usual lag, reports older than this leave the ordinary plan as it is
-SETTLE_S = 4.0  # after a start, time of reports before the ordinary plan is trusted
+SETTLE = 2.0  # after a start, report periods heard before the ordinary plan is trusted
 PROBE_S = 0.8
 SILENT_S = 2.0  # time without a good answer before a server is suspect
 PROBES_MISSED = 3
@@ -565,7 +565,7 @@
             return
         # Ordinary changes wait while reports are late, and after a start until there are enough of them.
         stale = self.now - self.reported > STALE_S + 2 * self.set.report_period_s
-        stale = stale or self.now - self.first_reported < SETTLE_S
+        stale = stale or self.now - self.first_reported < SETTLE * self.set.report_period_s
         must: list[int] = []
         may: list[int] = []
         for number, view in sorted(self.slices.items()):
