--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -435,10 +435,6 @@
                 if sid in load:
                     load[sid] += part[number] * (1.0 if self.warmth(sid) >= 1 else COLD_MISS)
 
-        # In a shortage the shares of capacity are taken of what each must bear, so that it is shared evenly.
-        short = sum(load[s] for s in warm) / max(ROOM * sum(can[s] for s in warm), 1e-9)
-        can = {sid: able * (max(1.0, short) if sid in warm else 1.0) for sid, able in can.items()}
-
         def cost(number: int, sid: int) -> float:
             """What the slice weighs there: dearer where its keys are not cached. The few keys that make
             a slice hot are soon cached anywhere."""
