Never more tries than the site's own way, none in a crowd; least stay dropped

A site whose tries would have helped a lone full server loses that; no standby line is written where no proxy would use it.

--- a/puffintide/drill/settings.py
+++ b/puffintide/drill/settings.py
@@ -83,6 +83,7 @@
         single_writer=_get(tree, "familyInfo.singleWriter", bool, False),
         warm_keys=_get(tree, "familyInfo.warmKeys", bool, False),
         retry_default=_amount(tree, "familyInfo.retryDefault", int, default=0),
+        shun_after=_amount(tree, "familyInfo.strikes", int, default=0),
         retry_wait_aims=_amount(tree, "familyInfo.tryFactor", float, default=1.0),
         admit=_get(tree, "familyInfo.admit", str, "silent"),
         channel_lines_per_s=_amount(tree, "familyInfo.egressPerS", float, 1),
--- a/puffintide/interface.py
+++ b/puffintide/interface.py
@@ -35,6 +35,7 @@
     warm_keys: bool
     retry_default: int
     retry_wait_aims: float
+    shun_after: int  # own failures in a row after which a proxy avoids a server for a while; 0: never
     admit: str
     channel_lines_per_s: float
     channel_head_lines: float
--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -22,10 +22,10 @@
 ROOM = 0.75  # share of capacity up to which an alternate takes more
 RETURN = 0.65  # a detoured slice goes home only if its default would stay below this
 SHORT = 1.0  # share of capacity that a slice which stands elsewhere may fill its server to
-HOLD_S = 6.0  # a slice that moved by choice stays at least this long
 STEADY_S = 8.0  # memory of capacity and of other assigners' load, which change slowly
 IDLE = 0.15  # a server reporting less load than this tells little of its capacity
 CROWDED = 0.8  # and one above this has a service time that tells of the crowd
+CALM = 0.6  # mean load below which proxies may try again elsewhere; above CROWDED they may not
 JUMP = 1.6  # a capacity reading off by this factor is learned fast
 MISS = 1.7  # a slice brings this much more work to a server that has not cached its keys
 SPLIT = 0.45  # a slice above this share of its server's capacity is spread over several
@@ -112,7 +112,6 @@
     lines: dict[int, float] = field(default_factory=dict)  # the table as the store has it
     heat: dict[int, Rate] = field(default_factory=dict)  # by class
     places: list[int] = field(default_factory=list)  # servers that share it evenly
-    moved: float = -math.inf
 
 
 class Director:
@@ -134,6 +133,8 @@
         self.drained = 0.0
         self.sent: list[float] = []  # times of past publishes, each at most one message a proxy
         self.levels_due = False
+        self.tries = min(1, settings.retry_default)  # never past proof, nor more than the site's own way
+        self.tries_told = settings.retry_default > 1
         self.levels: dict[int, float] = {}  # share of each class let in
         self.reported = -math.inf  # when anything was last heard from proxies
         self.first_reported = math.inf
@@ -162,6 +163,7 @@
         self.probe()
         self.estimate()
         plan = self.detour(self.project())
+        self.allow_tries()
         self.shed()
         self.publish(plan)
 
@@ -332,9 +334,6 @@
     def heat(self, view: SliceView) -> float:
         return sum(rate.value or 0.0 for rate in view.heat.values())
 
-    def share_of(self, view: SliceView, sid: int) -> float:
-        return self.heat(view) / len(view.places) if sid in view.places else 0.0
-
     def recent(self, view: ServerView, rates: dict[int, Rate]) -> float:
         window = max(2 * WINDOW_S, 3 * (view.interval or 1.0))
         return sum(r.value or 0.0 for r in rates.values() if self.now - r.heard < window)
@@ -478,8 +477,7 @@
             held = next((s for s in view.places if s in usable), None)
             if held is None or load[held] + part[number] > SHORT * can[held]:
                 continue
-            recent = self.now - view.moved < HOLD_S
-            if home not in usable or recent or load[home] > RETURN * can[home]:
+            if home not in usable or load[home] > RETURN * can[home]:
                 move(number, home, held)
         base = dict(load)  # room and excess are seen by every assigner: each takes its part of them
         # Slices on draining, gone or ejected servers always move.
@@ -516,6 +514,15 @@
                 move(number, None, target)
         return plan
 
+    def allow_tries(self) -> None:
+        """A further try spreads the refusals of one full server, but brings down the rest of a full fleet."""
+        known = [v for sid, v in sorted(self.servers.items()) if self.ready(sid) and v.load is not None]
+        busy = sum(v.entry.weight * (v.load or 0.0) for v in known)
+        short = busy > (CROWDED if self.tries else CALM) * sum(v.entry.weight for v in known)
+        tries = 0 if short else min(1, self.set.retry_default)
+        if tries != self.tries:
+            self.tries, self.levels_due, self.tries_told = tries, True, True
+
     def shed(self) -> None:
         """Lets in less when the whole fleet is short, classes of least worth for their work first. What a
         class costs is not told: its wanted time stands for it. Refusals go out at once, by the proxies."""
@@ -544,7 +551,7 @@
     def table(self, number: int, places: list[int]) -> dict[int, float]:
         """The lines for a slice: its places, and a standby where a proxy's further try can go."""
         lines = dict.fromkeys(places, 1.0)
-        if len(places) == 1 and not self.set.single_writer:
+        if len(places) == 1 and not self.set.single_writer and self.set.retry_default + self.set.shun_after:
             whole = [s for s in self.ranking(number) if self.servers[s].level == len(LEVELS) - 1]
             whole = [s for s in whole if s not in lines and self.warmth(s) >= 1]
             lines.update(dict.fromkeys(whole[:1], STANDBY))
@@ -605,12 +612,10 @@
         view = self.slices[number]
         if view.default is None and places:
             view.default = places[0]
-        if places != view.places:
-            view.moved = self.now
         view.lines, view.places = self.table(number, places), list(places)
 
     def retry_orders(self) -> list[api.Action]:
-        """One further try, elsewhere, after proof that the first never ran: safe for every class."""
+        """At most one further try, after proof that the first never ran: safe for every class."""
         if self.levels:
-            return [api.Admit(api.ALL_TABLES, 1 << k, v, 1) for k, v in sorted(self.levels.items())]
-        return [] if self.set.retry_default >= 1 else [api.Admit(api.ALL_TABLES, 0, 1.0, 1)]
+            return [api.Admit(api.ALL_TABLES, 1 << k, v, self.tries) for k, v in sorted(self.levels.items())]
+        return [api.Admit(api.ALL_TABLES, 0, 1.0, self.tries)] if self.tries_told else []
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -201,3 +201,20 @@
         world.heat[number] = 1.0 if number % 4 else 3.6
     world.run(20)
     assert not [a for _, acts in world.log for a in acts if isinstance(a, api.Admit) and a.level < 1]
+
+
+@pytest.mark.parametrize(("default", "most"), [(0, 0), (1, 1), (3, 1)])
+def test_further_tries_stay_within_the_sites_own_way_and_stop_in_a_crowd(default: int, most: int) -> None:
+    world = World(retry_default=default)
+    world.run(5)
+    assert all(a.retry <= most for _, acts in world.log for a in acts if isinstance(a, api.Admit))
+    for number in world.heat:
+        world.heat[number] = 12.0
+    world.run(10)
+    assert world.director.tries == 0
+    last = [a for _, acts in world.log for a in acts if isinstance(a, api.Admit)]
+    assert not default or last[-1].retry == 0
+    for number in world.heat:
+        world.heat[number] = 3.0
+    world.run(15)
+    assert world.director.tries == most
--- a/tests/world.py
+++ b/tests/world.py
@@ -28,6 +28,7 @@
         warm_keys=True,
         retry_default=0,
         retry_wait_aims=1.0,
+        shun_after=3,
         admit="silent",
         channel_lines_per_s=10000.0,
         channel_head_lines=12.0,
