Slices leave an ejected server only for one that stays within its capacity

It should hold in any shortage with failing servers; it may leave slices on a server that truly hangs while the others are full.

--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -251,18 +251,18 @@
             elif name == "rif" and value < 1e5:
                 view.latest = value
                 view.inflight = smooth(view.inflight, value, self.set.report_period_s)
-            elif name == "lat_ms" and 0 < value < 1e6:
+            elif name == "lat_ms" and value > 0:
                 view.service_s = smooth(view.service_s, value / 1000, self.set.report_period_s)
 
     def see_probe(self, event: api.ProbeResult) -> None:
         view = self.servers.get(event.server)
-        if view is not None and event.status in (3, 4, 5):
-            view.missed, view.answered = view.missed + 1, 0
-        elif view is not None and event.status == 0:
-            view.missed, view.answered = 0, view.answered + 1
+        if view is None or event.status not in (0, 3, 4, 5):
+            return
+        view.missed, view.answered = (0, view.answered + 1) if event.status == 0 else (view.missed + 1, 0)
+        if event.status == 0:
             view.quickest = min(view.quickest, event.took_s)
             self.see_values(view, event.values)
-        if view is not None and event.status in (0, 3) and view.inflight is not None:
+        if event.status in (0, 3) and view.inflight is not None:
             slowed = event.status == 3 or event.took_s > SLOWED * view.quickest
             self.probed.append((view.latest / max(view.entry.weight, 1e-9), slowed))
 
@@ -409,7 +409,7 @@
 
     def ranking(self, number: int) -> list[int]:
         """The fixed order of alternates for a slice: warm servers by a hash, new ones last."""
-        ids = [sid for sid in sorted(self.servers) if self.ready(sid)]
+        ids = filter(self.ready, sorted(self.servers))
         return sorted(ids, key=lambda s: (self.warmth(s) < 1, zlib.crc32(f"{number}:{s}".encode())))
 
     def detour(self, plan: dict[int, list[int]]) -> dict[int, list[int]]:
@@ -457,9 +457,8 @@
 
         def roomiest(number: int) -> int | None:
             """The warm server with most room; cold ones get nothing beyond their part while others are."""
-            best = [s for s in sorted(usable) if s not in plan[number] and can[s] > 0]
-            best.sort(key=lambda s: (s not in warm, (load[s] + cost(number, s)) / can[s]))
-            return best[0] if best else None
+            able = [s for s in sorted(usable) if s not in plan[number] and can[s] > 0]
+            return min(able, key=lambda s: (s not in warm, (load[s] + cost(number, s)) / can[s]), default=None)
 
         def move(number: int, old: int | None, new: int) -> None:
             load[new] += cost(number, new)
@@ -480,15 +479,16 @@
             if home not in usable or load[home] > RETURN * can[home]:
                 move(number, home, held)
         base = dict(load)  # room and excess are seen by every assigner: each takes its part of them
-        # Slices on draining, gone or ejected servers always move.
+        # Slices on draining or gone servers always move; on ejected ones not if that crowds the next server.
         for number in sorted(self.slices):
             home = plan[number][0] if plan[number] else None
             if home in usable:
                 continue
             new = place(number) or roomiest(number)
-            if new is not None:
+            crowds = new is not None and home in can and load[new] + cost(number, new) > SHORT * can[new]
+            if new is not None and not crowds:
                 move(number, home, new)
-            elif home is not None and not self.ready(home):
+            elif home is not None and home not in can:
                 plan[number] = []
         # Servers above the threshold shed in slice-number order.
         for sid in sorted(usable):
