--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -457,8 +457,8 @@
 
         def roomiest(number: int) -> int | None:
             """The warm server with most room; cold ones get nothing beyond their part while others are."""
-            able = [s for s in sorted(usable) if s not in plan[number] and can[s] > 0]
-            return min(able, key=lambda s: (s not in warm, (load[s] + cost(number, s)) / can[s]), default=None)
+            ids = [s for s in sorted(usable) if s not in plan[number] and can[s] > 0]
+            return min(ids, key=lambda s: (s not in warm, (load[s] + cost(number, s)) / can[s]), default=None)
 
         def move(number: int, old: int | None, new: int) -> None:
             load[new] += cost(number, new)
