Refused requests don't count as load in the projection

Heat tells what came, refused requests with it, so with levels below 1 the projection saw load that no server had.

--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -332,7 +332,8 @@
     # Project ------------------------------------------------------------------------------------
 
     def heat(self, view: SliceView) -> float:
-        return sum(rate.value or 0.0 for rate in view.heat.values())
+        """Requests a second that are let in; what came is told, refused ones with it."""
+        return sum((rate.value or 0.0) * self.levels.get(k, 1.0) for k, rate in sorted(view.heat.items()))
 
     def recent(self, view: ServerView, rates: dict[int, Rate]) -> float:
         window = max(2 * WINDOW_S, 3 * (view.interval or 1.0))
