--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -44,8 +44,8 @@
 STEP_S = 2.0  # time without trouble for each level up
 LEVELS = (0.0, 0.15, 0.4, 1.0)
 REHOME_S = 20.0  # a default gone for this long is replaced by where the slice is now
-SHED_AT = 1.0  # demand over the fleet's capacity from which less is let in
-SHED_TO = 0.85  # and down to which
+SHED_AT = 0.9  # demand over the fleet's capacity from which less is let in
+SHED_TO = 0.75  # and down to which
 LEVEL_LEAST = 0.2  # no class is refused more than all but this
 LEVEL_STEP = 0.08  # smaller changes of a level are not worth a message
 BACKLOG = 0.5  # part of the channel's limit that ordinary changes may fill
@@ -534,11 +534,13 @@
         for _, view in sorted(self.slices.items()):
             for number, rate in view.heat.items():
                 offered[number] += rate.value or 0.0
-        demand = sum(offered.values())
+        work = {k: rate * self.set.classes[k].aim_s for k, rate in offered.items()}
+        # The room is known in requests of the mix that is let in now.
+        room *= sum(w * self.levels.get(k, 1.0) for k, w in work.items())
+        room /= max(sum(rate * self.levels.get(k, 1.0) for k, rate in offered.items()), 1e-9)
         levels = dict.fromkeys(offered, 1.0)
-        if demand > room * (SHED_TO if min(self.levels.values(), default=1.0) < 1 else SHED_AT):
-            work = {k: rate * self.set.classes[k].aim_s for k, rate in offered.items()}
-            excess = sum(work.values()) * (1 - room * SHED_TO / demand)
+        if sum(work.values()) > room * (SHED_TO if min(self.levels.values(), default=1.0) < 1 else SHED_AT):
+            excess = sum(work.values()) - room * SHED_TO
             for k in sorted(work, key=lambda k: self.set.classes[k].worth / self.set.classes[k].aim_s):
                 if work[k] > 0:
                     levels[k] = max(LEVEL_LEAST, 1 - excess / work[k])
