--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -214,8 +214,7 @@
                 # A restart: what was learned of its load is void, its size is not.
                 view = ServerView(entry, self.now, capacity=view.capacity)
                 self.servers[entry.id] = view
-            if entry.state != api.READY and view.entry.state == api.READY:
-                self.urgent = True
+            self.urgent |= entry.state != api.READY and view.entry.state == api.READY
             view.entry = entry
         if event.kind != "delta":
             for sid, view in sorted(self.servers.items()):
@@ -244,7 +243,7 @@
 
     def see_values(self, view: ServerView, values: tuple[float, ...]) -> None:
         for name, value in zip(self.set.report_names, values, strict=False):
-            if not math.isfinite(value) or value < 0:
+            if not 0 <= value < math.inf:
                 continue
             if name == "busy" and value <= 1.5:
                 view.load = smooth(view.load, min(value, 1.0), self.set.report_period_s)
@@ -292,20 +291,19 @@
         if len(bad) > OUT_MOST * len(ready):
             return
         for view in ready:
-            if view in bad:
-                if view.level > 0:
-                    view.level, view.level_since = 0, self.now
-                    view.ejections += 1
-                    self.urgent = True
-            elif view.level < len(LEVELS) - 1:
+            if view in bad and view.level > 0:
+                view.level, view.level_since = 0, self.now
+                view.ejections += 1
+                self.urgent = True
+            elif view not in bad and view.level < len(LEVELS) - 1:
                 self.raise_level(view)
 
     def suspect(self, view: ServerView, usual: float) -> bool:
-        silent = self.now - max(view.last_good, view.level_since, view.since)
         if view.level == 0:
             return view.missed > 0
+        # Late reports are no silence, and one that still answers some is crowded: its capacity tells that.
+        silent = self.reported - max(view.last_good, view.level_since, view.since)
         failing = view.failing is not None and view.failing > FAILING
-        # One that still answers some is crowded: its low capacity moves slices off, not all at once.
         return (failing or view.missed >= PROBES_MISSED) and silent > max(1.5 * usual, SILENT_S)
 
     def raise_level(self, view: ServerView) -> None:
@@ -336,7 +334,7 @@
         return sum((rate.value or 0.0) * self.levels.get(k, 1.0) for k, rate in sorted(view.heat.items()))
 
     def recent(self, view: ServerView, rates: dict[int, Rate]) -> float:
-        window = max(2 * WINDOW_S, 3 * (view.interval or 1.0))
+        window = max(2 * WINDOW_S, 3 * (view.interval or 0.0))
         return sum(r.value or 0.0 for r in rates.values() if self.now - r.heard < window)
 
     def mine(self) -> float:
@@ -482,7 +480,7 @@
         base = dict(load)  # room and excess are seen by every assigner: each takes its part of them
         # Slices on draining or gone servers always move; on ejected ones not if that crowds the next server.
         for number in sorted(self.slices):
-            home = plan[number][0] if plan[number] else None
+            home = next(iter(plan[number]), None)
             if home in usable:
                 continue
             new = place(number) or roomiest(number)
@@ -535,18 +533,18 @@
             for number, rate in view.heat.items():
                 offered[number] += rate.value or 0.0
         work = {k: rate * self.set.classes[k].aim_s for k, rate in offered.items()}
-        # The room is known in requests of the mix that is let in now.
-        room *= sum(w * self.levels.get(k, 1.0) for k, w in work.items())
-        room /= max(sum(rate * self.levels.get(k, 1.0) for k, rate in offered.items()), 1e-9)
+        let_in = {k: self.levels.get(k, 1.0) for k in offered}  # the room is in requests of that mix
+        room *= sum(work[k] * v for k, v in let_in.items())
+        room /= max(sum(offered[k] * v for k, v in let_in.items()), 1e-9)
         levels = dict.fromkeys(offered, 1.0)
-        if sum(work.values()) > room * (SHED_TO if min(self.levels.values(), default=1.0) < 1 else SHED_AT):
+        if sum(work.values()) > room * (SHED_TO if min(let_in.values()) < 1 else SHED_AT):
             excess = sum(work.values()) - room * SHED_TO
             for k in sorted(work, key=lambda k: self.set.classes[k].worth / self.set.classes[k].aim_s):
                 if work[k] > 0:
                     levels[k] = max(LEVEL_LEAST, 1 - excess / work[k])
                     excess -= work[k] * (1 - levels[k])
-        steps = {k: abs(level - self.levels.get(k, 1.0)) for k, level in levels.items()}
-        if max(steps.values()) >= LEVEL_STEP or (max(steps.values()) > 0 and min(levels.values()) == 1):
+        step = max(abs(level - let_in[k]) for k, level in levels.items())
+        if step >= LEVEL_STEP or (step > 0 and min(levels.values()) == 1):
             self.levels, self.levels_due = levels, True
 
     # Guard and publish --------------------------------------------------------------------------
@@ -577,8 +575,7 @@
         for number, view in sorted(self.slices.items()):
             lost = [s for s in view.lines if not self.ready(s)]
             dead = [s for s in view.places if s in self.servers and self.servers[s].level == 0]
-            pick = must if lost or dead or not view.lines else may
-            pick.append(number)
+            (must if lost or dead or not view.lines else may).append(number)
         proxies = max(1, len(self.proxies))
         budget = self.set.channel_limit - self.waiting - self.set.channel_head_lines * proxies
         spent = 0.0
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -106,3 +106,24 @@
     world.tell(api.ServerList("delta", 2, (server(1, api.GONE),)))
     world.run(1)
     assert all(1 not in t for t in world.tables.values())
+
+
+def test_reports_late_for_all_eject_nobody() -> None:
+    world = World(probes=True)
+    world.run(10)
+    world.tell(api.LoadReport(0, 1, 50, 50, 0.0, 5.0, ()))
+    world.silent_reports = True
+    for _ in range(30):
+        world.run(0.25)
+        world.tell(api.ProbeResult(1, 3, 0.4, ()))
+    assert world.director.servers[1].level == 3
+
+
+def test_refused_requests_are_no_load() -> None:
+    world = World(admit="fraction")
+    for number in world.heat:
+        world.heat[number] = 16.0
+    world.run(15)
+    view = world.director.slices[0]
+    came = sum(rate.value or 0.0 for rate in view.heat.values())
+    assert world.director.heat(view) < 0.95 * came
