--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -61,9 +61,9 @@
     return new if old is None else old + (new - old) * (1 - math.exp(-max(span, 0.1) / memory))
 
 
-def learn(old: float | None, new: float) -> float:
-    """A slow average for what seldom changes, fast when the reading is far off."""
-    far = old is not None and not old / JUMP < new < old * JUMP
+def learn(old: float | None, new: float, sure: bool = False) -> float:
+    """A slow average for what seldom changes, fast when the reading is sure or far off."""
+    far = sure or (old is not None and not old / JUMP < new < old * JUMP)
     return smooth(old, new, ROUND_S, WINDOW_S / 2 if far else STEADY_S)
 
 
@@ -369,7 +369,8 @@
             self.read_inflight(ready)
         for v in ready:
             if v.load and v.load > IDLE and self.served(v) > 0 and self.warmth(v.entry.id) >= 1:
-                v.capacity = learn(v.capacity, self.served(v) / v.load)
+                sure = "busy" in self.set.report_names and v.load > FULL  # a full server shows all it can
+                v.capacity = learn(v.capacity, self.served(v) / v.load, sure)
         work = sum(v.entry.weight * v.load for v in ready if v.load is not None)
         rate = sum(self.served(v) for v in ready if v.load is not None) / self.mine()
         if rate > 0 and work > IDLE / 2 * sum(v.entry.weight for v in ready if v.load is not None):
