--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -122,9 +122,8 @@
         self.servers: dict[int, ServerView] = {}
         self.slices: dict[int, SliceView] = {}
         self.proxies: set[int] = set()
-        self.now = 0.0
+        self.now = -math.inf
         self.actions: list[api.Action] = []
-        self.started = False
         self.urgent = False
         self.next_publish = 0.0
         self.next_watch = 0.0 if settings.list_is_asked else math.inf
@@ -143,9 +142,8 @@
         self.in_work = 0.0  # requests in work per listed size at a full server
 
     def handle(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
+        due = self.now < 0 or any(isinstance(event, api.TimerDue) for event in events)
         self.now, self.actions = now, []
-        due = not self.started or any(isinstance(event, api.TimerDue) for event in events)
-        self.started = True
         for event in events:
             self.observe(event)
         self.first_reported = min(self.first_reported, self.now) if self.reported > 0 else math.inf
@@ -212,9 +210,7 @@
             if view is None:
                 self.servers[entry.id] = view = ServerView(entry, self.now)
             elif entry.state == api.READY and entry.started > view.entry.started:
-                # A restart: what was learned of its load is void, its size is not.
-                view = ServerView(entry, self.now, capacity=view.capacity)
-                self.servers[entry.id] = view
+                self.servers[entry.id] = view = ServerView(entry, self.now)  # a restart: start anew
             view.entry = entry
         for sid, view in sorted(self.servers.items()) if event.kind != "delta" else []:
             if sid not in listed and view.entry.state != api.GONE:
@@ -312,8 +308,7 @@
         elif view.level == 0:
             ready = calm > TRIAL_S * 2 ** min(view.ejections - 1, 3)
         else:
-            idle = view.last_good <= view.level_since  # nothing was sent that could tell
-            ready = calm > STEP_S * (2 if idle else 1)
+            ready = calm > STEP_S * (1 if view.last_good > view.level_since else 2)
         if ready:
             view.level, view.level_since = view.level + 1, self.now
             view.failing, view.missed, view.load = None, 0, None
@@ -367,9 +362,12 @@
         if "busy" not in self.set.report_names:
             self.read_inflight(ready)
         for v in ready:
-            if v.load and v.load > IDLE and self.served(v) > 0 and self.warmth(v.entry.id) >= 1:
+            warmth = self.warmth(v.entry.id)
+            heard = warmth >= 1 or self.now - v.since > WINDOW_S  # after a restart not from before it
+            if heard and v.load and v.load > IDLE and self.served(v) > 0:
+                most = math.inf if warmth >= 1 else JUMP * (self.per_size or 0.0) * v.entry.weight
                 sure = "busy" in self.set.report_names and v.load > FULL  # a full server shows all it can
-                v.capacity = learn(v.capacity, self.served(v) / v.load, sure)
+                v.capacity = learn(v.capacity, min(most, self.served(v) / v.load / warmth), sure)
         work = sum(v.entry.weight * v.load for v in ready if v.load is not None)
         rate = sum(self.served(v) for v in ready if v.load is not None) / self.mine()
         if rate > 0 and work > IDLE / 2 * sum(v.entry.weight for v in ready if v.load is not None):
@@ -418,6 +416,8 @@
         if not usable:  # ejected servers are better than none
             usable, can = set(can), {sid: self.capacity(sid, whole=True) for sid in can}
         warm = {sid for sid in usable if self.warmth(sid) >= 1}
+        # A lone assigner reads what an empty cache costs from a cold server's own reports.
+        raw = {sid for sid in usable - warm if self.set.instances > 1 or self.servers[sid].capacity is None}
         part: dict[int, float] = {}
         pieces: dict[int, int] = {}
         for number, view in sorted(self.slices.items()):
@@ -431,15 +431,15 @@
             part[number] = heat / want
             for sid in plan[number]:
                 if sid in load:
-                    load[sid] += part[number] * (1.0 if self.warmth(sid) >= 1 else COLD_MISS)
+                    load[sid] += part[number] * (COLD_MISS if sid in raw else 1.0)
 
         def cost(number: int, sid: int) -> float:
             """What the slice weighs there: dearer where its keys are not cached. The few keys that make
             a slice hot are soon cached anywhere."""
             known = pieces[number] > 1 or sid in self.slices[number].places
-            if not self.set.warm_keys or (known and sid in warm):
+            if not self.set.warm_keys or (known and sid not in raw):
                 return part[number]
-            return part[number] * (MISS if sid in warm else COLD_MISS)
+            return part[number] * (COLD_MISS if sid in raw else MISS)
 
         def place(number: int) -> int | None:
             """The first alternate with room: first among those not above the fleet's mean load."""
@@ -464,7 +464,7 @@
             if old is not None:
                 plan[number].remove(old)
                 if old in load:
-                    load[old] -= part[number] * (1.0 if old in warm else COLD_MISS)
+                    load[old] -= part[number] * (COLD_MISS if old in raw else 1.0)
             plan[number].append(new)
 
         # Slices that stand elsewhere stay there until their default has room to spare.
@@ -611,8 +611,7 @@
 
     def commit(self, number: int, places: list[int]) -> None:
         view = self.slices[number]
-        if view.default is None and places:
-            view.default = places[0]
+        view.default = next(iter(places), None) if view.default is None else view.default
         view.lines, view.places = self.table(number, places), list(places)
 
     def retry_orders(self) -> list[api.Action]:
