--- a/puffintide/drill/__main__.py
+++ b/puffintide/drill/__main__.py
@@ -71,7 +71,7 @@
             if len(head) < 4:
                 raise WireError(f"input ends after {len(head)} of 4 bytes of the length")
             (size,) = struct.unpack("<I", head)
-            # The stated length covers what follows the whole header, clock included in none of it.
+            # The stated length counts what comes after the header, and the clock is part of the header.
             clock = _read(source, CLOCK)
             body = _read(source, size)
             if len(clock) < CLOCK or len(body) < size:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -1,6 +1,9 @@
 """Servers that are listed ready and do not answer, and troubles that are everybody's."""
 
+import struct
+
 from puffintide import interface as api
+from puffintide.policy import Director
 from tests.world import World, server
 
 
@@ -78,12 +81,16 @@
 
 def test_restarted_assigner_takes_the_store_for_its_default_map() -> None:
     world = World()
-    fresh = World(servers=(1, 2, 3, 4))
-    fresh.run(8)
-    assert [v.default for _, v in sorted(fresh.director.slices.items())] == [
-        v.default for _, v in sorted(world.director.slices.items())
-    ]
-    assert fresh.moves() == 0
+    fresh = Director(world.settings)
+    events: list[api.Event] = [api.ServerList("cached", 1, tuple(server(s) for s in (1, 2, 3, 4)))]
+    for number, home in ((0, 3), (1, 2)):
+        standby = api.StoredLine(number, 1, struct.unpack("f", struct.pack("f", 0.004))[0])
+        events += [api.SliceCharge(number, True), standby, api.StoredLine(number, home, 1.0)]
+    fresh.handle(world.now, events)
+    assert [view.default for _, view in sorted(fresh.slices.items())] == [3, 2]
+    assert [view.places for _, view in sorted(fresh.slices.items())] == [[3], [2]]
+    orders = fresh.handle(world.now + 1, [api.TimerDue(1)])
+    assert not [a for a in orders if isinstance(a, api.SetLine) and a.weight >= 1]
 
 
 def test_failed_list_call_is_asked_again() -> None:
