Waves past the grace are answered by withdrawing servers; plan and capacity wait for a report turn

Rewriting every table outlasts the grace: a batch to 100 proxies waits a second before its way even begins. Told again to proxies that join; let in when ready and no table names them. May hurt where a draining server would still have served for the rest of the grace.

Cause 2: with some 500 slices a report turn takes three seconds; capacity was read from the first half of it (2.5 times too high at the start, a fifth after an assigner's restart) and the plan moved on that.

--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -1,15 +1,14 @@
 """All decisions of puffintide. Types of settings, events and actions: puffintide/interface.py.
 
-One Director serves one assigner. Each round it observes, judges health, projects every slice onto its
-default server, detours slices off servers that would run too full, guards the rules and publishes what
-changed. Capacity and heat are in requests a second. docs/design.md tells what is kept and what is added.
+One Director serves one assigner: it observes, judges health, projects slices onto their default servers,
+detours some, guards the rules and publishes what changed; docs/design.md tells why. Rates are a second's.
 """
 
 from __future__ import annotations
 
 import math
 import zlib
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
 
@@ -28,32 +27,29 @@
 CALM = 0.6  # mean load below which proxies may try again elsewhere; above CROWDED they may not
 JUMP = 1.6  # a capacity reading off by this factor is learned fast
 MISS = 1.7  # a slice brings this much more work to a server that has not cached its keys
-SPLIT = 0.45  # a slice above this share of its server's capacity is spread over several
-MERGE = 0.25  # and brought together again below this
+SPLIT = 0.45  # a slice above this share of its server's capacity is spread, until below half of it
 PARTS_MOST = 4
 STANDBY = 0.004  # weight of the second line, where a proxy's further try finds another server
 COLD_MISS = 1.5  # with an empty cache a request may be this much dearer
-STALE_S = 2.5  # beyond the usual lag, reports older than this leave the ordinary plan as it is
 SETTLE = 2.0  # after a start, report periods heard before the ordinary plan is trusted
 PROBE_S = 0.8
 SILENT_S = 2.0  # time without a good answer before a server is suspect
 PROBES_MISSED = 3
 FAILING = 0.85  # share of failed tries that makes a server suspect
+BLIND = 0.9  # a zone with more slowed probes than this, unlike another, lies behind a slow link
 OUT_MOST = 0.6  # if more of the fleet than this looks bad, the cause is common: nobody is ejected
-TRIAL_S = 5.0  # first wait before an ejected server that can't be probed gets a further try
-STEP_S = 2.0  # time without trouble for each level up
+STEP_S = 2.0  # time without trouble for each level up; doubled for each ejection if there are no probes
 LEVELS = (0.0, 0.15, 0.4, 1.0)
-REHOME_S = 20.0  # a default gone for this long is replaced by where the slice is now
 SHED_AT = 0.9  # demand over the fleet's capacity from which less is let in
 SHED_TO = 0.75  # and down to which
 LEVEL_LEAST = 0.2  # no class is refused more than all but this
 LEVEL_STEP = 0.08  # smaller changes of a level are not worth a message
 BACKLOG = 0.5  # part of the channel's limit that ordinary changes may fill
+URGENT = 0.9  # and urgent ones
 SLOW_CHANNEL = 0.5  # the channel is counted on for this part of its stated speed
 USUAL = 0.5  # load of the median server, where nothing tells it
 PROBES_KEPT = 200  # latest probes that tell how full servers are
 SLOWED = 1.25  # a probe that takes this many times the server's quickest had to share or wait
-ROUND_TIMER = 1
 
 
 def smooth(old: float | None, new: float, span: float, memory: float = WINDOW_S) -> float:
@@ -69,24 +65,22 @@
 
 @dataclass(slots=True)
 class Rate:
-    """Requests a second from counts over spans; nothing heard for long counts as nothing."""
+    """Requests a second from counts over spans."""
 
-    value: float | None = None
-    heard: float = 0.0
+    value: float = 0.0
+    heard: float = -math.inf
 
     def add(self, now: float, count: float, span: float) -> None:
-        self.value = smooth(self.value, count / span, span)
+        self.value = smooth(self.value if self.heard > 0 else None, count / span, span)
         self.heard = now
 
 
 @dataclass(slots=True)
 class ServerView:
-    """What this assigner believes of one server."""
-
     entry: api.Server
     since: float  # when it was first heard of, or restarted
-    good: dict[int, Rate] = field(default_factory=dict)  # answered tries, by proxy zone
-    held: dict[int, Rate] = field(default_factory=dict)  # and how many were under way (Little's law)
+    good: defaultdict[int, Rate] = field(default_factory=lambda: defaultdict(Rate))  # answers, by proxy zone
+    held: defaultdict[int, Rate] = field(default_factory=lambda: defaultdict(Rate))  # tries under way
     failing: float | None = None
     load: float | None = None  # busy share, 0 to 1
     inflight: float | None = None
@@ -97,26 +91,24 @@
     pace: float = 1.0  # its speed against servers of its size
     foreign: float | None = None  # load that other assigners' proxies bring
     last_good: float = 0.0
-    interval: float | None = None  # usual time between digests with good answers
-    missed: int = 0  # probes unanswered in a row
-    answered: int = 0  # probes answered in a row
+    next_probe: float = 0.0
+    slowed: bool = False  # the last probe, or it was lost
+    streak: int = 0  # probes answered in a row; below 0: unanswered
     level: int = len(LEVELS) - 1
     level_since: float = 0.0
     ejections: int = 0
-    gone_since: float | None = None
+    lost_since: float | None = None  # told that it drains or is gone
 
 
 @dataclass(slots=True)
 class SliceView:
     default: int | None = None
     lines: dict[int, float] = field(default_factory=dict)  # the table as the store has it
-    heat: dict[int, Rate] = field(default_factory=dict)  # by class
+    heat: defaultdict[int, Rate] = field(default_factory=lambda: defaultdict(Rate))  # by class
     places: list[int] = field(default_factory=list)  # servers that share it evenly
 
 
 class Director:
-    """Decides for one assigner."""
-
     def __init__(self, settings: api.Settings) -> None:
         self.set = settings
         self.servers: dict[int, ServerView] = {}
@@ -124,33 +116,30 @@
         self.proxies: set[int] = set()
         self.now = -math.inf
         self.actions: list[api.Action] = []
-        self.urgent = False
-        self.next_publish = 0.0
+        self.urgent = self.levels_due = self.rejoined = False  # rejoined: a proxy that knows no withdrawals
         self.next_watch = 0.0 if settings.list_is_asked else math.inf
-        self.next_probe: dict[int, float] = {}
-        self.waiting = 0.0  # lines thought to be in the channel
-        self.drained = 0.0
+        self.next_publish = self.drained = self.waiting = 0.0  # waiting: lines thought to be in the channel
         self.sent: list[float] = []  # times of past publishes, each at most one message a proxy
-        self.levels_due = False
-        self.tries = min(1, settings.retry_default)  # never past proof, nor more than the site's own way
-        self.tries_told = settings.retry_default > 1
+        self.withdrawn: set[int] = set()  # servers shut out of all tables of this assigner's slices
+        self.tries, self.tries_told = min(1, settings.retry_default), settings.retry_default > 1
         self.levels: dict[int, float] = {}  # share of each class let in
-        self.reported = -math.inf  # when anything was last heard from proxies
-        self.first_reported = math.inf
+        self.reported, self.first_reported = -math.inf, math.inf  # when anything was heard from proxies
+        self.charged = 0.0  # when a slice was last given or taken
         self.per_size: float | None = None  # capacity of a server of listed size 1, fleet-wide
         self.probed: deque[tuple[float, bool]] = deque(maxlen=PROBES_KEPT)  # in flight per size; slowed?
+        self.blind: set[int] = set()  # zones whose probes tell of the way there, not of servers
         self.in_work = 0.0  # requests in work per listed size at a full server
+        self.orders: dict[int, list[int]] = {}  # alternates of each slice, while the servers below stand
+        self.orders_for: list[tuple[bool, int]] = []
 
     def handle(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
         due = self.now < 0 or any(isinstance(event, api.TimerDue) for event in events)
-        self.now, self.actions = now, []
+        self.now, self.actions = now, [api.SetTimer(ROUND_S, 1)] if due else []
         for event in events:
             self.observe(event)
-        self.first_reported = min(self.first_reported, self.now) if self.reported > 0 else math.inf
+        self.first_reported = min(self.first_reported, self.now if self.reported > 0 else math.inf)
         if due or self.urgent:
             self.round()
-        if due:
-            self.actions.append(api.SetTimer(ROUND_S, ROUND_TIMER))
         return self.actions
 
     def round(self) -> None:
@@ -165,8 +154,6 @@
         self.shed()
         self.publish(plan)
 
-    # Observe ------------------------------------------------------------------------------------
-
     def observe(self, event: api.Event) -> None:
         match event:
             case api.LoadReport():
@@ -175,11 +162,11 @@
                 view = self.slices.get(event.slice)
                 if view is not None and event.span_s > 0:
                     self.reported = self.now
-                    rate = view.heat.setdefault(event.request_class, Rate())
-                    rate.add(self.now, event.requests, event.span_s)
+                    view.heat[event.request_class].add(self.now, event.requests, event.span_s)
             case api.ServerList():
                 self.see_list(event)
             case api.SliceCharge():
+                self.charged = self.now
                 self.slices.pop(event.slice, None)
                 if event.given:
                     self.slices[event.slice] = SliceView()
@@ -188,12 +175,12 @@
                 view = self.slices.get(event.slice)
                 if view is not None and event.weight > 0:
                     view.lines[event.server] = event.weight
-                    top = max(view.lines.values())
-                    view.places = [s for s in sorted(view.lines) if view.lines[s] >= 0.5 * top]
+                    half = max(view.lines.values()) / 2
+                    view.places = [s for s, weight in sorted(view.lines.items()) if weight >= half]
                     view.default = view.places[0]
             case api.ProxyJoined():
                 self.proxies.add(event.proxy)
-                self.levels_due = True
+                self.levels_due = self.rejoined = True
             case api.ProxyLeft():
                 self.proxies.discard(event.proxy)
             case api.ProbeResult():
@@ -207,18 +194,15 @@
         for entry in event.servers:
             view = self.servers.get(entry.id)
             self.urgent |= view is None or replace(view.entry, weight=entry.weight) != entry
-            if view is None:
-                self.servers[entry.id] = view = ServerView(entry, self.now)
-            elif entry.state == api.READY and entry.started > view.entry.started:
-                self.servers[entry.id] = view = ServerView(entry, self.now)  # a restart: start anew
+            if view is None or (entry.state == api.READY and entry.started > view.entry.started):
+                self.servers[entry.id] = view = ServerView(entry, self.now)  # new, or a restart: start anew
             view.entry = entry
         for sid, view in sorted(self.servers.items()) if event.kind != "delta" else []:
             if sid not in listed and view.entry.state != api.GONE:
                 view.entry = replace(view.entry, state=api.GONE)
                 self.urgent = True
         for view in self.servers.values():
-            gone = view.entry.state == api.GONE
-            view.gone_since = (view.gone_since or self.now) if gone else None
+            view.lost_since = None if view.entry.state == api.READY else view.lost_since or self.now
 
     def see_load(self, event: api.LoadReport) -> None:
         view = self.servers.get(event.server)
@@ -226,13 +210,11 @@
             return
         self.reported = self.now
         good = event.tries - event.failed
-        view.good.setdefault(event.zone, Rate()).add(self.now, good, event.span_s)
-        view.held.setdefault(event.zone, Rate()).add(self.now, good * event.mean_s, event.span_s)
+        view.good[event.zone].add(self.now, good, event.span_s)
+        view.held[event.zone].add(self.now, good * event.mean_s, event.span_s)  # Little's law
         if event.tries:
             view.failing = smooth(view.failing, event.failed / event.tries, event.span_s * event.tries / 3)
         if good:
-            if view.last_good and self.now > view.last_good:
-                view.interval = smooth(view.interval, self.now - view.last_good, 1.0)
             view.last_good = self.now
         self.see_values(view, event.values)
 
@@ -252,98 +234,93 @@
         view = self.servers.get(event.server)
         if view is None or event.status not in (0, 3, 4, 5):
             return
-        view.missed, view.answered = (0, view.answered + 1) if event.status == 0 else (view.missed + 1, 0)
+        view.streak = max(view.streak, 0) + 1 if event.status == 0 else min(view.streak, 0) - 1
         if event.status == 0:
             view.quickest = min(view.quickest, event.took_s)
             self.see_values(view, event.values)
-        if event.status in (0, 3) and view.inflight is not None:
-            slowed = event.status == 3 or event.took_s > SLOWED * view.quickest
-            self.probed.append((view.latest / max(view.entry.weight, 1e-9), slowed))
-
-    # Judge health -------------------------------------------------------------------------------
+        view.slowed = event.status != 0 or event.took_s > SLOWED * view.quickest
+        if event.status in (0, 3) and view.inflight is not None and view.entry.zone not in self.blind:
+            self.probed.append((view.latest / max(view.entry.weight, 1e-9), view.slowed))
 
     def ready(self, sid: int) -> bool:
-        view = self.servers.get(sid)
-        return view is not None and view.entry.state == api.READY
+        return sid in self.servers and self.servers[sid].entry.state == api.READY
+
+    def ready_views(self) -> list[ServerView]:
+        return [view for sid, view in sorted(self.servers.items()) if view.entry.state == api.READY]
 
     def warmth(self, sid: int) -> float:
         """The least share of its capacity that a server can have by now, since its start."""
         view = self.servers[sid]
-        begun = view.entry.started
-        if begun <= 0 or self.set.warm_within_s <= 0:
+        if view.entry.started <= 0 or self.set.warm_within_s <= 0:
             return 1.0
-        age = max(0.0, self.now - begun)
-        return min(1.0, self.set.cold_from + (1 - self.set.cold_from) * age / self.set.warm_within_s)
+        age = max(0.0, self.now - view.entry.started) / self.set.warm_within_s
+        return min(1.0, self.set.cold_from + (1 - self.set.cold_from) * age)
 
     def judge_health(self) -> None:
-        """Finds servers that are listed ready and do not answer, whatever the cause; lets them back by
-        levels. The yardstick is the fleet: when most servers look bad, or reports are late for all,
-        the cause is common and nobody is ejected."""
-        ready = [view for sid, view in sorted(self.servers.items()) if self.ready(sid)]
-        intervals = sorted(v.interval for v in ready if v.interval is not None)
-        usual = max(intervals[len(intervals) // 2] if intervals else 1.0, self.set.report_period_s)
-        bad = [v for v in ready if self.suspect(v, usual)]
+        """Finds servers that are listed ready and do not answer; lets them back by levels. When most look
+        bad, or reports are late for all, the cause is common and nobody is ejected."""
+        ready = self.ready_views()
+        zones = {z: [v.slowed for v in ready if v.entry.zone == z] for z in {v.entry.zone for v in ready}}
+        shares = {zone: sum(slowed) / len(slowed) for zone, slowed in sorted(zones.items())}
+        self.blind = {z for z, share in shares.items() if share > BLIND and min(shares.values()) < 0.5}
+        bad = {v.entry.id for v in ready if self.suspect(v)}
         if len(bad) > OUT_MOST * len(ready):
             return
         for view in ready:
-            if view in bad and view.level > 0:
-                view.level, view.level_since = 0, self.now
-                view.ejections += 1
+            if view.entry.id in bad and view.level > 0:
+                view.level, view.level_since, view.ejections = 0, self.now, view.ejections + 1
                 self.urgent = True
-            elif view not in bad and view.level < len(LEVELS) - 1:
-                self.raise_level(view)
+            elif view.entry.id not in bad and self.proved(view):
+                view.level, view.level_since = view.level + 1, self.now
+                view.failing, view.streak, view.load = None, max(view.streak, 0), None
 
-    def suspect(self, view: ServerView, usual: float) -> bool:
+    def suspect(self, view: ServerView) -> bool:
+        seen = view.entry.zone not in self.blind
         if view.level == 0:
-            return view.missed > 0
+            return seen and view.streak < 0
         # Late reports are no silence, and one that still answers some is crowded: its capacity tells that.
         silent = self.reported - max(view.last_good, view.level_since, view.since)
-        failing = view.failing is not None and view.failing > FAILING
-        return (failing or view.missed >= PROBES_MISSED) and silent > max(1.5 * usual, SILENT_S)
-
-    def raise_level(self, view: ServerView) -> None:
-        calm = self.now - view.level_since
-        if view.level == 0 and self.set.probes:
-            ready = view.answered >= 2 and calm > STEP_S
-        elif view.level == 0:
-            ready = calm > TRIAL_S * 2 ** min(view.ejections - 1, 3)
-        else:
-            ready = calm > STEP_S * (1 if view.last_good > view.level_since else 2)
-        if ready:
-            view.level, view.level_since = view.level + 1, self.now
-            view.failing, view.missed, view.load = None, 0, None
+        mute = (view.failing or 0.0) > FAILING or (seen and view.streak <= -PROBES_MISSED)
+        return mute and silent > max(1.5 * self.turn(), SILENT_S)
 
-    def probe(self) -> None:
-        for sid in sorted(self.servers) if self.set.probes else []:
-            if self.ready(sid) and self.now >= self.next_probe.get(sid, 0.0):
-                self.actions.append(api.Probe(sid))
-                # The first wait is spread by id so that not all go out at once.
-                spread = 1.0 if sid in self.next_probe else zlib.crc32(f"{sid}".encode()) % 1000 / 1000
-                self.next_probe[sid] = self.now + PROBE_S * spread
+    def proved(self, view: ServerView) -> bool:
+        """Whether a server may have its next level."""
+        wait: float = 1 if view.last_good > view.level_since else 2
+        if view.level == 0:
+            probed = self.set.probes and view.entry.zone not in self.blind
+            wait = 1 if probed and view.streak >= 2 else math.inf if probed else 2 ** min(view.ejections, 4)
+        return view.level < len(LEVELS) - 1 and self.now - view.level_since > STEP_S * wait
 
-    # Project ------------------------------------------------------------------------------------
+    def probe(self) -> None:
+        """First probes at once, the next spread by id so that not all go out together."""
+        for view in self.ready_views() if self.set.probes else []:
+            if self.now >= view.next_probe:
+                self.actions.append(api.Probe(view.entry.id))
+                spread = 1.0 if view.next_probe else zlib.crc32(f"{view.entry.id}".encode()) % 1000 / 1000
+                view.next_probe = self.now + PROBE_S * spread
 
     def heat(self, view: SliceView) -> float:
-        """Requests a second that are let in; what came is told, refused ones with it."""
-        return sum((rate.value or 0.0) * self.levels.get(k, 1.0) for k, rate in sorted(view.heat.items()))
+        # What came is told, refused requests with it.
+        return sum(r.value * self.levels.get(k, 1.0) for k, r in sorted(view.heat.items()))
 
-    def recent(self, view: ServerView, rates: dict[int, Rate]) -> float:
-        window = max(2 * WINDOW_S, 3 * (view.interval or 0.0))
-        return sum(r.value or 0.0 for r in rates.values() if self.now - r.heard < window)
+    def turn(self) -> float:
+        """The time in which all in charge is heard of: of many slices and servers reports take turns."""
+        lines = len(self.slices) * len(self.set.classes) + len(self.servers) * max(1, self.set.zones)
+        return max(self.set.report_period_s, lines / max(self.set.report_lines_per_s, 1.0))
 
-    def mine(self) -> float:
-        """The share of all slices in this assigner's charge, which stands for its share of the traffic."""
-        return max(1, len(self.slices)) / max(1, self.set.slices)
+    def recent(self, rates: dict[int, Rate]) -> float:
+        """What was not heard of for long counts as nothing."""
+        window = max(2 * WINDOW_S, 5 * self.turn())
+        return sum(rate.value for rate in rates.values() if self.now - rate.heard < window)
 
-    def served(self, view: ServerView) -> float:
-        """Good answers a second that this assigner's proxies had from the server."""
-        return self.recent(view, view.good)
+    def mine(self) -> float:
+        return max(1, len(self.slices)) / max(1, self.set.slices)  # stands for the share of the traffic
 
     def read_inflight(self, ready: list[ServerView]) -> None:
-        """A load from requests in flight, where no busy share is reported. A probe is slowed where no core
-        is free: as many servers are full as probes were slowed, and the in-flight count that parts the
-        fleet so is a full server's. Without such probes the median server is taken to be at USUAL."""
-        held = sorted(self.recent(v, v.held) / v.entry.weight for v in ready)
+        """A load from requests in flight. As many servers are full as probes were slowed, and the count that
+        parts the fleet so is a full server's. Without probes the median server is taken to be at USUAL."""
+        alone = self.set.instances == 1  # then answers tell all, with less noise than counts do
+        held = sorted(self.recent(v.held) / v.entry.weight for v in ready)
         if len(self.probed) >= PROBES_KEPT / 5:
             counts = sorted(count for count, _ in self.probed)
             free = sum(not slowed for _, slowed in self.probed)
@@ -351,40 +328,45 @@
         elif held and held[len(held) // 2] > 0:
             self.in_work = held[len(held) // 2] / USUAL
         for v in ready:
-            own = self.recent(v, v.held)
-            total = own if self.set.instances == 1 else max(own, v.inflight or 0.0)
+            own = self.recent(v.held)
+            # Answer times hold the way there, so behind a slow link the servers' own counts are taken.
+            total = own if v.inflight is None or (alone and not self.blind) else v.inflight
             if own > 0 and self.in_work > 0:
                 v.load = min(1.0, total / (v.entry.weight * self.in_work))
 
     def estimate(self) -> None:
         """Capacity = served rate over load, fleet-wide by listed size and for each server."""
-        ready = [v for sid, v in sorted(self.servers.items()) if self.ready(sid) and v.entry.weight > 0]
+        ready = [v for v in self.ready_views() if v.entry.weight > 0]
         if "busy" not in self.set.report_names:
             self.read_inflight(ready)
-        for v in ready:
-            warmth = self.warmth(v.entry.id)
-            heard = warmth >= 1 or self.now - v.since > WINDOW_S  # after a restart not from before it
-            if heard and v.load and v.load > IDLE and self.served(v) > 0:
-                most = math.inf if warmth >= 1 else JUMP * (self.per_size or 0.0) * v.entry.weight
-                sure = "busy" in self.set.report_names and v.load > FULL  # a full server shows all it can
-                v.capacity = learn(v.capacity, min(most, self.served(v) / v.load / warmth), sure)
-        work = sum(v.entry.weight * v.load for v in ready if v.load is not None)
-        rate = sum(self.served(v) for v in ready if v.load is not None) / self.mine()
-        if rate > 0 and work > IDLE / 2 * sum(v.entry.weight for v in ready if v.load is not None):
-            self.per_size = learn(self.per_size, rate / work)
-        if self.set.instances > 1 and self.per_size is not None:
-            # A service time tells a server's pace between idling, when it is the probes', and crowding,
-            # when all are slow. What the pace misses shows up as foreign load and is shed all the same.
-            paced = [v for v in ready if v.service_s and v.load and IDLE < v.load < CROWDED]
-            paced = [v for v in paced if self.warmth(v.entry.id) >= 1]
-            times = sorted(v.service_s for v in paced if v.service_s)
+        known = [(v, v.load, self.recent(v.good)) for v in ready if v.load is not None]
+        work = sum(v.entry.weight * load for v, load, _ in known)
+        rate = sum(good for *_, good in known) / self.mine()
+        if rate > 0 and work > IDLE / 2 * sum(v.entry.weight for v, *_ in known):
+            if self.now - max(self.first_reported, self.charged) >= SETTLE * self.turn():
+                self.per_size = learn(self.per_size, rate / work)
+            elif self.charged <= self.first_reported:
+                self.per_size = rate / work  # a first idea
+        if self.set.instances == 1:
+            for v, load, good in known:
+                warmth = self.warmth(v.entry.id)
+                heard = warmth >= 1 or self.now - v.since > WINDOW_S  # after a restart not from before it
+                if heard and load > IDLE and good > 0:
+                    most = math.inf if warmth >= 1 else JUMP * (self.per_size or 0.0) * v.entry.weight
+                    sure = "busy" in self.set.report_names and load > FULL  # a full server shows all it can
+                    v.capacity = learn(v.capacity, min(most, good / load / warmth), sure)
+        elif self.per_size is not None:
+            # Service times tell a server's pace between idling and crowding; the rest shows as foreign load.
+            paced = [v for v, load, _ in known if IDLE < load < CROWDED and self.warmth(v.entry.id) >= 1]
+            timed = [(v, v.service_s) for v in paced if v.service_s]
+            times = sorted(time for _, time in timed)
+            for v, time in timed:
+                v.pace = learn(v.pace, min(times[len(times) // 2] / time, JUMP))
             for v in ready:
-                if v in paced and v.service_s:
-                    v.pace = learn(v.pace, min(times[len(times) // 2] / v.service_s, JUMP))
                 v.capacity = self.per_size * v.entry.weight * v.pace
-                if v.load is not None:
-                    other = v.load * v.capacity * self.warmth(v.entry.id) - self.served(v)
-                    v.foreign = smooth(v.foreign, max(0.0, other), ROUND_S, STEADY_S)
+            for v, load, good in known:
+                other = load * (v.capacity or 0.0) * self.warmth(v.entry.id) - good
+                v.foreign = smooth(v.foreign, max(0.0, other), ROUND_S, STEADY_S)
 
     def capacity(self, sid: int, whole: bool = False) -> float:
         """What the server can do now, all assigners together; whole: whatever its level."""
@@ -394,48 +376,43 @@
 
     def project(self) -> dict[int, list[int]]:
         """Every slice on its default server; a slice hotter than its server's part gets more places."""
-        plan: dict[int, list[int]] = {}
-        for number, view in sorted(self.slices.items()):
-            home = None if view.default is None else self.servers.get(view.default)
-            if home and home.gone_since is not None and self.now - home.gone_since > REHOME_S:
-                view.default = next((s for s in view.places if self.ready(s)), view.default)
-            plan[number] = [] if view.default is None else [view.default]
-        return plan
-
-    # Detour -------------------------------------------------------------------------------------
+        return {n: [] if v.default is None else [v.default] for n, v in sorted(self.slices.items())}
 
     def ranking(self, number: int) -> list[int]:
         """The fixed order of alternates for a slice: warm servers by a hash, new ones last."""
-        ids = filter(self.ready, sorted(self.servers))
-        return sorted(ids, key=lambda s: (self.warmth(s) < 1, zlib.crc32(f"{number}:{s}".encode())))
+        if number not in self.orders:
+            ids = [(cold, zlib.crc32(b"%d:%d" % (number, s)), s) for cold, s in self.orders_for]
+            self.orders[number] = [s for _, _, s in sorted(ids)]
+        return self.orders[number]
 
     def detour(self, plan: dict[int, list[int]]) -> dict[int, list[int]]:
         can = {sid: self.capacity(sid) for sid in sorted(self.servers) if self.ready(sid)}
+        standing = [(self.warmth(sid) < 1, sid) for sid in can]
+        if standing != self.orders_for:  # orders are worked out anew only when the list or warmth changes
+            self.orders_for, self.orders = standing, {}
         load = {sid: self.servers[sid].foreign or 0.0 for sid in can}
-        usable = {sid for sid in can if self.servers[sid].level > 0}
+        usable = {sid for sid in can if self.servers[sid].level > 0 and sid not in self.withdrawn}
         if not usable:  # ejected servers are better than none
             usable, can = set(can), {sid: self.capacity(sid, whole=True) for sid in can}
         warm = {sid for sid in usable if self.warmth(sid) >= 1}
-        # A lone assigner reads what an empty cache costs from a cold server's own reports.
+        # What an empty cache costs is charged, unless a cold server's own reports tell it.
         raw = {sid for sid in usable - warm if self.set.instances > 1 or self.servers[sid].capacity is None}
         part: dict[int, float] = {}
-        pieces: dict[int, int] = {}
+        pieces = dict.fromkeys(self.slices, 1)
         for number, view in sorted(self.slices.items()):
             heat = self.heat(view)
             size = max((can.get(s, 0.0) for s in plan[number]), default=0.0) or max(can.values(), default=0.0)
-            want = 1
-            limit = MERGE if len(view.places) > 1 else SPLIT
+            limit = SPLIT / 2 if len(view.places) > 1 else SPLIT
             if size > 0 and heat > limit * size and not self.set.single_writer:
-                want = min(PARTS_MOST, max(len(view.places), math.ceil(heat / (SPLIT * size))))
-            pieces[number] = want
-            part[number] = heat / want
+                pieces[number] = min(PARTS_MOST, max(len(view.places), math.ceil(heat / (SPLIT * size))))
+            part[number] = heat / pieces[number]
             for sid in plan[number]:
                 if sid in load:
                     load[sid] += part[number] * (COLD_MISS if sid in raw else 1.0)
+        total, most = sum(load[s] for s in usable), max(sum(can[s] for s in usable), 1e-9)
 
         def cost(number: int, sid: int) -> float:
-            """What the slice weighs there: dearer where its keys are not cached. The few keys that make
-            a slice hot are soon cached anywhere."""
+            """Dearer where its keys are not cached; the few that make a slice hot soon are anywhere."""
             known = pieces[number] > 1 or sid in self.slices[number].places
             if not self.set.warm_keys or (known and sid not in raw):
                 return part[number]
@@ -443,15 +420,12 @@
 
         def place(number: int) -> int | None:
             """The first alternate with room: first among those not above the fleet's mean load."""
-            mean = sum(load[s] for s in usable) / max(sum(can[s] for s in usable), 1e-9)
-            return first(number, min(ROOM, mean)) or first(number, ROOM)
-
-        def first(number: int, room: float) -> int | None:
-            for sid in self.ranking(number):
-                if sid in usable and sid not in plan[number]:
-                    allowed = base[sid] + (room * can[sid] - base[sid]) / self.set.instances
-                    if load[sid] + cost(number, sid) <= allowed:
-                        return sid
+            for room in (min(ROOM, total / most), ROOM):
+                for sid in self.ranking(number):
+                    if sid in usable and sid not in plan[number]:
+                        allowed = base[sid] + (room * can[sid] - base[sid]) / self.set.instances
+                        if load[sid] + cost(number, sid) <= allowed:
+                            return sid
             return None
 
         def roomiest(number: int) -> int | None:
@@ -460,7 +434,9 @@
             return min(ids, key=lambda s: (s not in warm, (load[s] + cost(number, s)) / can[s]), default=None)
 
         def move(number: int, old: int | None, new: int) -> None:
+            nonlocal total
             load[new] += cost(number, new)
+            total += cost(number, new) - (part[number] if old in usable else 0.0)
             if old is not None:
                 plan[number].remove(old)
                 if old in load:
@@ -490,12 +466,16 @@
             elif home is not None and home not in can:
                 plan[number] = []
         # Servers above the threshold shed in slice-number order.
+        alone: defaultdict[int, list[int]] = defaultdict(list)
+        for number in sorted(self.slices):
+            for sid in plan[number]:
+                alone[sid].append(number)
         for sid in sorted(usable):
             excess = max(0.0, base[sid] - FULL * can[sid]) if sid in warm else 0.0
-            for number in sorted(self.slices):
+            for number in alone[sid]:
                 if load[sid] <= FULL * can[sid] + excess * (1 - 1 / self.set.instances):
                     break
-                if plan[number] != [sid] or part[number] <= 0.005 * can[sid]:
+                if part[number] <= 0.005 * can[sid]:  # not worth a move
                     continue
                 target = place(number)
                 if target is None and sid not in warm:  # a cold server is spared all the same
@@ -515,9 +495,9 @@
 
     def allow_tries(self) -> None:
         """A further try spreads the refusals of one full server, but brings down the rest of a full fleet."""
-        known = [v for sid, v in sorted(self.servers.items()) if self.ready(sid) and v.load is not None]
-        busy = sum(v.entry.weight * (v.load or 0.0) for v in known)
-        short = busy > (CROWDED if self.tries else CALM) * sum(v.entry.weight for v in known)
+        known = [(v.entry.weight, v.load) for v in self.ready_views() if v.load is not None]
+        busy = sum(weight * load for weight, load in known)
+        short = busy > (CROWDED if self.tries else CALM) * sum(weight for weight, _ in known)
         tries = 0 if short else min(1, self.set.retry_default)
         if tries != self.tries:
             self.tries, self.levels_due, self.tries_told = tries, True, True
@@ -529,9 +509,8 @@
             return
         room = self.mine() * sum(self.capacity(s) for s in sorted(self.servers) if self.ready(s))
         offered = dict.fromkeys(range(len(self.set.classes)), 0.0)
-        for _, view in sorted(self.slices.items()):
-            for number, rate in view.heat.items():
-                offered[number] += rate.value or 0.0
+        for number, rate in (pair for _, v in sorted(self.slices.items()) for pair in v.heat.items()):
+            offered[number] += rate.value
         work = {k: rate * self.set.classes[k].aim_s for k, rate in offered.items()}
         let_in = {k: self.levels.get(k, 1.0) for k in offered}  # the room is in requests of that mix
         room *= sum(work[k] * v for k, v in let_in.items())
@@ -547,75 +526,91 @@
         if step >= LEVEL_STEP or (step > 0 and min(levels.values()) == 1):
             self.levels, self.levels_due = levels, True
 
-    # Guard and publish --------------------------------------------------------------------------
-
     def table(self, number: int, places: list[int]) -> dict[int, float]:
         """The lines for a slice: its places, and a standby where a proxy's further try can go."""
         lines = dict.fromkeys(places, 1.0)
         if len(places) == 1 and not self.set.single_writer and self.set.retry_default + self.set.shun_after:
-            whole = [s for s in self.ranking(number) if self.servers[s].level == len(LEVELS) - 1]
-            whole = [s for s in whole if s not in lines and self.warmth(s) >= 1]
-            lines.update(dict.fromkeys(whole[:1], STANDBY))
+            whole = (s for s in self.ranking(number) if self.servers[s].level == len(LEVELS) - 1)
+            spare = next((s for s in whole if s not in lines and s not in self.withdrawn), None)
+            if spare is not None and self.warmth(spare) >= 1:
+                lines[spare] = STANDBY
         return lines
 
     def publish(self, plan: dict[int, list[int]]) -> None:
-        speed = self.set.channel_lines_per_s * SLOW_CHANNEL
-        self.waiting = max(0.0, self.waiting - (self.now - self.drained) * speed)
-        self.drained = self.now
+        left = (self.now - self.drained) * self.set.channel_lines_per_s * SLOW_CHANNEL
+        self.waiting, self.drained = max(0.0, self.waiting - left), self.now
         ordinary = self.now >= self.next_publish
         self.sent = [t for t in self.sent if t > self.now - self.set.messages_span_s - 1]
         full = self.set.messages_most and len(self.sent) >= self.set.messages_most - (1 if self.urgent else 5)
         if full or not (ordinary or self.urgent):
             return
         # Ordinary changes wait while reports are late, and after a start until there are enough of them.
-        stale = self.now - self.reported > STALE_S + 2 * self.set.report_period_s
-        stale = stale or self.now - self.first_reported < SETTLE * self.set.report_period_s
+        stale = self.now - self.reported > WINDOW_S + 2 * self.set.report_period_s
+        stale = stale or self.now - self.first_reported < SETTLE * self.turn()
         must: list[int] = []
-        may: list[int] = []
         for number, view in sorted(self.slices.items()):
-            lost = [s for s in view.lines if not self.ready(s)]
+            lost = [s for s in view.lines if not self.ready(s) and s not in self.withdrawn]
             left = [s for s in view.places if s not in plan[number] and s in self.servers]
             weak = [s for s in left if self.servers[s].level == 0 or self.warmth(s) < 1]
-            (must if lost or weak or not view.lines else may).append(number)
-        proxies = max(1, len(self.proxies))
-        budget = self.set.channel_limit - self.waiting - self.set.channel_head_lines * proxies
-        spent = 0.0
-        orders: list[api.Action] = []
-        for number in must + (may if ordinary and not stale else []):
-            changes = self.changes(number, plan[number])
-            cost = len(changes) * proxies
-            limit = 0.9 if number in must else BACKLOG
-            if not changes or spent + cost > budget - (1 - limit) * self.set.channel_limit:
-                continue
-            spent += cost
-            orders.extend(changes)
-            self.commit(number, plan[number])
+            if lost or weak or not any(self.ready(s) and s not in self.withdrawn for s in view.lines):
+                must.append(number)
+        may = sorted(self.slices.keys() - must) if ordinary and not stale else []
+        # At stake first: tables with nothing to pick, then the hottest slices.
+        must.sort(key=lambda n: (any(map(self.ready, self.slices[n].lines)), -self.heat(self.slices[n]), n))
+        proxies, limit = max(1, len(self.proxies)), self.set.channel_limit
+        budget = limit - self.waiting - self.set.channel_head_lines * proxies
+        orders = self.shut_out(plan, must, ordinary)
+        for number, urgent in [(n, True) for n in must] + [(n, False) for n in may]:
+            changes = self.changes(number, plan[number], tidy=not urgent)
+            room = budget - (1 - (URGENT if urgent else BACKLOG)) * limit
+            if changes and (len(orders) + len(changes)) * proxies <= room:
+                orders += changes
+                self.commit(number, plan[number], changes)
         if self.levels_due and (ordinary or orders):
-            retry = self.retry_orders()
-            orders.extend(retry)
-            spent += len(retry) * proxies
+            orders += self.retry_orders()
             self.levels_due = False
         self.urgent = False
         if orders:
             self.actions.extend(orders)
-            self.waiting += spent + self.set.channel_head_lines * proxies
+            self.waiting += (len(orders) + self.set.channel_head_lines) * proxies
             self.sent.append(self.now)
             self.next_publish = self.now + PUBLISH_S
 
-    def changes(self, number: int, places: list[int]) -> list[api.SetLine]:
+    def shut_out(self, plan: dict[int, list[int]], must: list[int], ordinary: bool) -> list[api.Action]:
+        """Withdraws lost servers, at one line a proxy, where rewriting their tables would outlast the grace
+        (waves, large fleets). They are let in when ready and no table names them against the plan."""
+        held = {s for view in self.slices.values() for s in view.lines}
+        lost = [s for s in sorted(held - self.withdrawn) if s in self.servers and not self.ready(s)]
+        told = min((self.servers[s].lost_since or self.now for s in lost), default=self.now)
+        left = self.set.drain_grace_s - (self.now - told) - self.set.channel_delay_max_s - ROUND_S
+        lines = sum(len(self.changes(n, plan[n], tidy=False)) for n in must) if lost else 0
+        ahead = (lines + self.set.channel_head_lines) * max(1, len(self.proxies)) + self.waiting
+        if ahead <= min(left * self.set.channel_lines_per_s, URGENT * self.set.channel_limit):
+            lost = []
+        astray = {s for n, view in self.slices.items() for s in view.lines if s not in plan[n]}
+        back = [s for s in sorted(self.withdrawn) if self.ready(s) and s not in astray]
+        again = sorted(self.withdrawn & held) if self.rejoined and ordinary else []
+        self.rejoined = self.rejoined and not ordinary
+        self.withdrawn = (self.withdrawn | set(lost)) - set(back)
+        return [api.Withdraw(s, s not in back) for s in lost + sorted(set(again) | set(back))]
+
+    def changes(self, number: int, places: list[int], tidy: bool) -> list[api.SetLine]:
+        """New lines first. Lines of servers that are shut out wait for an ordinary change."""
         old, new = self.slices[number].lines, self.table(number, places)
         if self.set.single_writer:
             return [api.SetLine(number, s, 1.0) for s in new if s not in old]
         added = [api.SetLine(number, s, w) for s, w in sorted(new.items()) if abs(old.get(s, 0.0) - w) > 1e-6]
-        return added + [api.SetLine(number, s, 0.0) for s in sorted(old) if s not in new]
+        drop = [s for s in sorted(old) if s not in new and (tidy or s not in self.withdrawn)]
+        return added + [api.SetLine(number, s, 0.0) for s in drop]
 
-    def commit(self, number: int, places: list[int]) -> None:
+    def commit(self, number: int, places: list[int], changes: list[api.SetLine]) -> None:
         view = self.slices[number]
         view.default = next(iter(places), None) if view.default is None else view.default
-        view.lines, view.places = self.table(number, places), list(places)
+        lines = {} if self.set.single_writer else dict(view.lines)
+        lines.update((change.server, change.weight) for change in changes)
+        view.lines, view.places = {s: w for s, w in lines.items() if w > 0}, list(places)
 
     def retry_orders(self) -> list[api.Action]:
-        """At most one further try, after proof that the first never ran: safe for every class."""
-        if self.levels:
-            return [api.Admit(api.ALL_TABLES, 1 << k, v, self.tries) for k, v in sorted(self.levels.items())]
-        return [api.Admit(api.ALL_TABLES, 0, 1.0, self.tries)] if self.tries_told else []
+        # At most one further try, after proof that the first never ran: safe for every class.
+        levels = [(1 << k, v) for k, v in sorted(self.levels.items())] or [(0, 1.0)][: self.tries_told]
+        return [api.Admit(api.ALL_TABLES, classes, v, self.tries) for classes, v in levels]
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -134,3 +134,27 @@
     view = world.director.slices[0]
     came = sum(rate.value or 0.0 for rate in view.heat.values())
     assert world.director.heat(view) < 0.95 * came
+
+
+def probed(world: World, lost: set[int], seconds: float) -> None:
+    for _ in range(round(seconds * 4)):
+        world.run(0.25)
+        world.tell(*(api.ProbeResult(s, 3 if s in lost else 0, 0.02, ()) for s in sorted(world.capacity)))
+
+
+def test_lost_probes_of_one_whole_zone_are_the_links_doing() -> None:
+    world = World(servers=tuple(range(1, 9)), probes=True, report_names=("rif",))
+    probed(world, set(), 5)
+    for number in world.heat:
+        world.heat[number] = 0.0  # no answers to tell otherwise
+    probed(world, {2, 4, 6, 8}, 8)  # the servers of zone 0
+    assert all(view.level == 3 for view in world.director.servers.values())
+    assert all(not slowed for _, slowed in list(world.director.probed)[-20:])
+
+
+def test_lost_probes_of_a_part_of_a_zone_are_the_servers_doing() -> None:
+    world = World(servers=tuple(range(1, 9)), probes=True)
+    probed(world, set(), 5)
+    world.mute.update({2, 4})
+    probed(world, {2, 4}, 8)
+    assert {s for s, view in world.director.servers.items() if view.level < 3} == {2, 4}
