--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -537,8 +537,8 @@
         return lines
 
     def publish(self, plan: dict[int, list[int]]) -> None:
-        left = (self.now - self.drained) * self.set.channel_lines_per_s * SLOW_CHANNEL
-        self.waiting, self.drained = max(0.0, self.waiting - left), self.now
+        gone = (self.now - self.drained) * self.set.channel_lines_per_s * SLOW_CHANNEL
+        self.waiting, self.drained = max(0.0, self.waiting - gone), self.now
         ordinary = self.now >= self.next_publish
         self.sent = [t for t in self.sent if t > self.now - self.set.messages_span_s - 1]
         full = self.set.messages_most and len(self.sent) >= self.set.messages_most - (1 if self.urgent else 5)
