A server that holds far more of our requests than it reports counts as full

Little's law over our own answers gives requests under way (5 to 7), the server reports none. Now a reported load under CROWDED is not believed where we alone have three times the reported requests and three more: the server counts as full. Not behind a slow link, where answer times hold the way. Should also catch stuck and delayed reports; may hurt where answers wait for connections.

--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -40,12 +40,10 @@
 OUT_MOST = 0.6  # if more of the fleet than this looks bad, the cause is common: nobody is ejected
 STEP_S = 2.0  # time without trouble for each level up; doubled for each ejection if there are no probes
 LEVELS = (0.0, 0.15, 0.4, 1.0)
-SHED_AT = 0.9  # demand over the fleet's capacity from which less is let in
-SHED_TO = 0.75  # and down to which
+SHED_AT, SHED_TO = 0.9, 0.75  # demand over the fleet's capacity from which less is let in, down to which
 LEVEL_LEAST = 0.2  # no class is refused more than all but this
 LEVEL_STEP = 0.08  # smaller changes of a level are not worth a message
-BACKLOG = 0.5  # part of the channel's limit that ordinary changes may fill
-URGENT = 0.9  # and urgent ones
+BACKLOG, URGENT = 0.5, 0.9  # parts of the channel's limit that ordinary and urgent changes may fill
 SLOW_CHANNEL = 0.5  # the channel is counted on for this part of its stated speed
 USUAL = 0.5  # load of the median server, where nothing tells it
 PROBES_KEPT = 200  # latest probes that tell how full servers are
@@ -319,18 +317,16 @@
     def read_inflight(self, ready: list[ServerView]) -> None:
         """A load from requests in flight. As many servers are full as probes were slowed, and the count that
         parts the fleet so is a full server's. Without probes the median server is taken to be at USUAL."""
-        alone = self.set.instances == 1  # then answers tell all, with less noise than counts do
         held = sorted(self.recent(v.held) / v.entry.weight for v in ready)
         if len(self.probed) >= PROBES_KEPT / 5:
-            counts = sorted(count for count, _ in self.probed)
             free = sum(not slowed for _, slowed in self.probed)
-            self.in_work = counts[min(free, len(counts) - 1)]
+            self.in_work = sorted(count for count, _ in self.probed)[min(free, len(self.probed) - 1)]
         elif held and held[len(held) // 2] > 0:
             self.in_work = held[len(held) // 2] / USUAL
         for v in ready:
             own = self.recent(v.held)
-            # Answer times hold the way there, so behind a slow link the servers' own counts are taken.
-            total = own if v.inflight is None or (alone and not self.blind) else v.inflight
+            # A lone assigner's answers tell all, with less noise; but answer times hold a slow link's way.
+            total = own if v.inflight is None or (self.set.instances == 1 and not self.blind) else v.inflight
             if own > 0 and self.in_work > 0:
                 v.load = min(1.0, total / (v.entry.weight * self.in_work))
 
@@ -339,6 +335,10 @@
         ready = [v for v in self.ready_views() if v.entry.weight > 0]
         if "busy" not in self.set.report_names:
             self.read_inflight(ready)
+        for v in ready:  # a server with more of our requests than it reports is not believed: it is full
+            told = math.inf if v.inflight is None or self.blind else v.inflight
+            if v.load is not None and v.load < CROWDED and self.recent(v.held) > 3 * told + 3:
+                v.load = 1.0
         known = [(v, v.load, self.recent(v.good)) for v in ready if v.load is not None]
         work = sum(v.entry.weight * load for v, load, _ in known)
         rate = sum(good for *_, good in known) / self.mine()
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -2,6 +2,8 @@
 
 import struct
 
+import pytest
+
 from puffintide import interface as api
 from puffintide.policy import Director
 from tests.world import World, server
@@ -158,3 +160,19 @@
     world.mute.update({2, 4})
     probed(world, {2, 4}, 8)
     assert {s for s, view in world.director.servers.items() if view.level < 3} == {2, 4}
+
+
+@pytest.mark.parametrize("instances", [1, 2])
+@pytest.mark.parametrize("shown", [0.0, 0.05, 0.4, 0.7])
+def test_server_with_more_of_our_requests_than_it_reports_loses_slices(instances: int, shown: float) -> None:
+    """It runs slower and reports an idle, a low or an old load: answers tell otherwise."""
+    world = World(slices=40, instances=instances, report_names=("busy", "rif", "lat_ms"))
+    world.heat = {n: 2.2 if n % 4 == 0 else 0.8 for n in world.heat}
+    world.run(10)
+    before = len([n for n in world.tables if 1 in world.main(n)])
+    del world.capacity[1]  # what it really does is told by the reports below
+    for _ in range(120):
+        world.run(0.25)
+        tries = round(world.load(1) * 5)
+        world.tell(api.LoadReport(0, 1, tries, 0, 2.0, 5.0, (shown, shown * 4, 100.0)))
+    assert len([n for n in world.tables if 1 in world.main(n)]) < before
