Ordinary changes are paced by the number of assigners; urgent ones fill less of the channel

Cause: three assigners publishing once a second send a proxy 2.9 to 3.2 messages a second, past the design's claim (2.5), and a report turn at full size takes three seconds anyway. Ordinary changes now wait half a second for each assigner, one at least.

Urgent changes may now fill 0.8 of the channel's limit, not 0.9; slices of lost servers go first, then of cold ones, hottest first.

--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -26,11 +26,10 @@
 CROWDED = 0.8  # and one above this has a service time that tells of the crowd
 CALM = 0.6  # mean load below which proxies may try again elsewhere; above CROWDED they may not
 JUMP = 1.6  # a capacity reading off by this factor is learned fast
-MISS = 1.7  # a slice brings this much more work to a server that has not cached its keys
+MISS, COLD_MISS = 1.7, 1.5  # work that a slice brings to a warm or cold server without its keys, per request
 SPLIT = 0.45  # a slice above this share of its server's capacity is spread, until below half of it
 PARTS_MOST = 4
 STANDBY = 0.004  # weight of the second line, where a proxy's further try finds another server
-COLD_MISS = 1.5  # with an empty cache a request may be this much dearer
 SETTLE = 2.0  # after a start, report periods heard before the ordinary plan is trusted
 PROBE_S = 0.8
 SILENT_S = 2.0  # time without a good answer before a server is suspect
@@ -43,7 +42,7 @@
 SHED_AT, SHED_TO = 0.9, 0.75  # demand over the fleet's capacity from which less is let in, down to which
 LEVEL_LEAST = 0.2  # no class is refused more than all but this
 LEVEL_STEP = 0.08  # smaller changes of a level are not worth a message
-BACKLOG, URGENT = 0.5, 0.9  # parts of the channel's limit that ordinary and urgent changes may fill
+BACKLOG, URGENT = 0.5, 0.8  # parts of the channel's limit that ordinary and urgent changes may fill
 SLOW_CHANNEL = 0.5  # the channel is counted on for this part of its stated speed
 USUAL = 0.5  # load of the median server, where nothing tells it
 PROBES_KEPT = 200  # latest probes that tell how full servers are
@@ -555,8 +554,9 @@
             if lost or weak or not any(self.ready(s) and s not in self.withdrawn for s in view.lines):
                 must.append(number)
         may = sorted(self.slices.keys() - must) if ordinary and not stale else []
-        # At stake first: tables with nothing to pick, then the hottest slices.
-        must.sort(key=lambda n: (any(map(self.ready, self.slices[n].lines)), -self.heat(self.slices[n]), n))
+        warm = {s: self.ready(s) * (1 + (self.warmth(s) >= 1)) for s in self.servers}
+        # At stake first: slices of lost servers, then of cold ones, each time the hottest first.
+        must.sort(key=lambda n: (max((warm.get(s, 0) for s in self.slices[n].places), default=0), -self.heat(self.slices[n]), n))
         proxies, limit = max(1, len(self.proxies)), self.set.channel_limit
         budget = limit - self.waiting - self.set.channel_head_lines * proxies
         orders = self.shut_out(plan, must, ordinary)
@@ -574,7 +574,7 @@
             self.actions.extend(orders)
             self.waiting += (len(orders) + self.set.channel_head_lines) * proxies
             self.sent.append(self.now)
-            self.next_publish = self.now + PUBLISH_S
+            self.next_publish = self.now + max(1.0, self.set.instances / 2) * PUBLISH_S
 
     def shut_out(self, plan: dict[int, list[int]], must: list[int], ordinary: bool) -> list[api.Action]:
         """Withdraws lost servers, at one line a proxy, where rewriting their tables would outlast the grace
