--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -554,9 +554,9 @@
             if lost or weak or not any(self.ready(s) and s not in self.withdrawn for s in view.lines):
                 must.append(number)
         may = sorted(self.slices.keys() - must) if ordinary and not stale else []
-        warm = {s: self.ready(s) * (1 + (self.warmth(s) >= 1)) for s in self.servers}
         # At stake first: slices of lost servers, then of cold ones, each time the hottest first.
-        must.sort(key=lambda n: (max((warm.get(s, 0) for s in self.slices[n].places), default=0), -self.heat(self.slices[n]), n))
+        whole = {s for s in self.servers if self.ready(s) and self.warmth(s) >= 1}
+        must.sort(key=lambda n: (not whole.isdisjoint(self.slices[n].places), -self.heat(self.slices[n]), n))
         proxies, limit = max(1, len(self.proxies)), self.set.channel_limit
         budget = limit - self.waiting - self.set.channel_head_lines * proxies
         orders = self.shut_out(plan, must, ordinary)
