Lines waiting are read from marks and counted before sending; only-cold fleets are guarded

Where no warm server is listed, cold ones get half of what makes them fall and the rest of the slices nothing. No capacity is read from cold servers any more.

--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -24,7 +24,6 @@
 STEADY_S = 8.0  # memory of capacity and of other assigners' load, which change slowly
 IDLE = 0.15  # a server reporting less load than this tells little of its capacity
 CROWDED = 0.8  # and one above this has a service time that tells of the crowd
-CALM = 0.6  # mean load below which proxies may try again elsewhere; above CROWDED they may not
 JUMP = 1.6  # a capacity reading off by this factor is learned fast
 MISS, COLD_MISS = 1.7, 1.5  # work that a slice brings to a warm or cold server without its keys, per request
 SPLIT = 0.45  # a slice above this share of its server's capacity is spread, until below half of it
@@ -36,6 +35,7 @@
 PROBES_MISSED = 3
 FAILING = 0.85  # share of failed tries that makes a server suspect
 BLIND = 0.9  # a zone with more slowed probes than this, unlike another, lies behind a slow link
+SAFE = 0.5  # part of the load that makes a cold server fall, sent where no warm server is left
 OUT_MOST = 0.6  # if more of the fleet than this looks bad, the cause is common: nobody is ejected
 STEP_S = 2.0  # time without trouble for each level up; doubled for each ejection if there are no probes
 LEVELS = (0.0, 0.15, 0.4, 1.0)
@@ -43,12 +43,15 @@
 LEVEL_LEAST = 0.2  # no class is refused more than all but this
 LEVEL_STEP = 0.08  # smaller changes of a level are not worth a message
 BACKLOG, URGENT = 0.5, 0.8  # parts of the channel's limit that ordinary and urgent changes may fill
-SLOW_CHANNEL = 0.5  # the channel is counted on for this part of its stated speed
+LOST = 0.2  # a message counts as waiting until applied, or until the channel had sent it at this speed
 USUAL = 0.5  # load of the median server, where nothing tells it
 PROBES_KEPT = 200  # latest probes that tell how full servers are
 SLOWED = 1.25  # a probe that takes this many times the server's quickest had to share or wait
 
 
+Plan = dict[int, list[int]]  # the servers of each slice
+
+
 def smooth(old: float | None, new: float, span: float, memory: float = WINDOW_S) -> float:
     """An average that forgets over a memory, whatever the span of each sample."""
     return new if old is None else old + (new - old) * (1 - math.exp(-max(span, 0.1) / memory))
@@ -115,10 +118,10 @@
         self.actions: list[api.Action] = []
         self.urgent = self.levels_due = self.rejoined = False  # rejoined: a proxy that knows no withdrawals
         self.next_watch = 0.0 if settings.list_is_asked else math.inf
-        self.next_publish = self.drained = self.waiting = 0.0  # waiting: lines thought to be in the channel
+        self.next_publish = self.waiting = 0.0  # waiting: lines in the channel or on their way
+        self.marks: dict[int, tuple[float, float, set[int]]] = {}  # when sent, lines each, not yet applied by
         self.sent: list[float] = []  # times of past publishes, each at most one message a proxy
         self.withdrawn: set[int] = set()  # servers shut out of all tables of this assigner's slices
-        self.tries, self.tries_told = min(1, settings.retry_default), settings.retry_default > 1
         self.levels: dict[int, float] = {}  # share of each class let in
         self.reported, self.first_reported = -math.inf, math.inf  # when anything was heard from proxies
         self.charged = 0.0  # when a slice was last given or taken
@@ -147,7 +150,6 @@
         self.probe()
         self.estimate()
         plan = self.detour(self.project())
-        self.allow_tries()
         self.shed()
         self.publish(plan)
 
@@ -178,6 +180,8 @@
             case api.ProxyJoined():
                 self.proxies.add(event.proxy)
                 self.levels_due = self.rejoined = True
+            case api.Applied():
+                self.marks.get(event.number, (0, 0, set[int]()))[2].discard(event.proxy)
             case api.ProxyLeft():
                 self.proxies.discard(event.proxy)
             case api.ProbeResult():
@@ -217,14 +221,12 @@
 
     def see_values(self, view: ServerView, values: tuple[float, ...]) -> None:
         for name, value in zip(self.set.report_names, values, strict=False):
-            if not 0 <= value < math.inf:
-                continue
-            if name == "busy" and value <= 1.5:
+            if name == "busy" and 0 <= value <= 1.5:
                 view.load = smooth(view.load, min(value, 1.0), self.set.report_period_s)
-            elif name == "rif" and value < 1e5:
+            elif name == "rif" and 0 <= value < 1e5:
                 view.latest = value
                 view.inflight = smooth(view.inflight, value, self.set.report_period_s)
-            elif name == "lat_ms" and value > 0:
+            elif name == "lat_ms" and 0 < value < math.inf:
                 view.service_s = smooth(view.service_s, value / 1000, self.set.report_period_s)
 
     def see_probe(self, event: api.ProbeResult) -> None:
@@ -310,9 +312,6 @@
         window = max(2 * WINDOW_S, 5 * self.turn())
         return sum(rate.value for rate in rates.values() if self.now - rate.heard < window)
 
-    def mine(self) -> float:
-        return max(1, len(self.slices)) / max(1, self.set.slices)  # stands for the share of the traffic
-
     def read_inflight(self, ready: list[ServerView]) -> None:
         """A load from requests in flight. As many servers are full as probes were slowed, and the count that
         parts the fleet so is a full server's. Without probes the median server is taken to be at USUAL."""
@@ -340,7 +339,7 @@
                 v.load = 1.0
         known = [(v, v.load, self.recent(v.good)) for v in ready if v.load is not None]
         work = sum(v.entry.weight * load for v, load, _ in known)
-        rate = sum(good for *_, good in known) / self.mine()
+        rate = sum(good for *_, good in known) * max(1, self.set.slices) / max(1, len(self.slices))
         if rate > 0 and work > IDLE / 2 * sum(v.entry.weight for v, *_ in known):
             if self.now - max(self.first_reported, self.charged) >= SETTLE * self.turn():
                 self.per_size = learn(self.per_size, rate / work)
@@ -349,11 +348,9 @@
         if self.set.instances == 1:
             for v, load, good in known:
                 warmth = self.warmth(v.entry.id)
-                heard = warmth >= 1 or self.now - v.since > WINDOW_S  # after a restart not from before it
-                if heard and load > IDLE and good > 0:
-                    most = math.inf if warmth >= 1 else JUMP * (self.per_size or 0.0) * v.entry.weight
+                if warmth >= 1 and load > IDLE and good > 0:
                     sure = "busy" in self.set.report_names and load > FULL  # a full server shows all it can
-                    v.capacity = learn(v.capacity, min(most, good / load / warmth), sure)
+                    v.capacity = learn(v.capacity, good / load, sure)
         elif self.per_size is not None:
             # Service times tell a server's pace between idling and crowding; the rest shows as foreign load.
             paced = [v for v, load, _ in known if IDLE < load < CROWDED and self.warmth(v.entry.id) >= 1]
@@ -373,7 +370,7 @@
         known = view.capacity or (self.per_size or 1.0) * view.entry.weight
         return known * (1.0 if whole else LEVELS[view.level]) * self.warmth(sid)
 
-    def project(self) -> dict[int, list[int]]:
+    def project(self) -> Plan:
         """Every slice on its default server; a slice hotter than its server's part gets more places."""
         return {n: [] if v.default is None else [v.default] for n, v in sorted(self.slices.items())}
 
@@ -384,7 +381,7 @@
             self.orders[number] = [s for _, _, s in sorted(ids)]
         return self.orders[number]
 
-    def detour(self, plan: dict[int, list[int]]) -> dict[int, list[int]]:
+    def detour(self, plan: Plan) -> Plan:
         can = {sid: self.capacity(sid) for sid in sorted(self.servers) if self.ready(sid)}
         standing = [(self.warmth(sid) < 1, sid) for sid in can]
         if standing != self.orders_for:  # orders are worked out anew only when the list or warmth changes
@@ -394,8 +391,8 @@
         if not usable:  # ejected servers are better than none
             usable, can = set(can), {sid: self.capacity(sid, whole=True) for sid in can}
         warm = {sid for sid in usable if self.warmth(sid) >= 1}
-        # What an empty cache costs is charged, unless a cold server's own reports tell it.
-        raw = {sid for sid in usable - warm if self.set.instances > 1 or self.servers[sid].capacity is None}
+        raw = usable - warm
+        lame = all(self.warmth(sid) < 1 for sid in can)  # then nobody need be served, and none may fall over
         part: dict[int, float] = {}
         pieces = dict.fromkeys(self.slices, 1)
         for number, view in sorted(self.slices.items()):
@@ -428,9 +425,13 @@
             return None
 
         def roomiest(number: int) -> int | None:
-            """The warm server with most room; cold ones get nothing beyond their part while others are."""
+            """The warm server with most room; a cold one only up to a safe part of what makes it fall."""
             ids = [s for s in sorted(usable) if s not in plan[number] and can[s] > 0]
-            return min(ids, key=lambda s: (s not in warm, (load[s] + cost(number, s)) / can[s]), default=None)
+            best = min(ids, key=lambda s: (s not in warm, (load[s] + cost(number, s)) / can[s]), default=None)
+            if best is None or not lame:
+                return best
+            room = (SAFE * self.set.fall_multiple * can[best] - base[best]) / self.set.instances
+            return best if load[best] + cost(number, best) <= base[best] + room else None
 
         def move(number: int, old: int | None, new: int) -> None:
             nonlocal total
@@ -481,6 +482,8 @@
                     target = next((s for s in [roomiest(number)] if s in warm), None)
                 if target is not None:
                     move(number, sid, target)
+                elif lame and load[sid] > SAFE * self.set.fall_multiple * can[sid]:
+                    plan[number], load[sid] = [], load[sid] - part[number] * COLD_MISS
         # Further places of slices that are spread.
         for number in sorted(self.slices):
             while plan[number] and len(plan[number]) < pieces[number]:
@@ -492,21 +495,12 @@
                 move(number, None, target)
         return plan
 
-    def allow_tries(self) -> None:
-        """A further try spreads the refusals of one full server, but brings down the rest of a full fleet."""
-        known = [(v.entry.weight, v.load) for v in self.ready_views() if v.load is not None]
-        busy = sum(weight * load for weight, load in known)
-        short = busy > (CROWDED if self.tries else CALM) * sum(weight for weight, _ in known)
-        tries = 0 if short else min(1, self.set.retry_default)
-        if tries != self.tries:
-            self.tries, self.levels_due, self.tries_told = tries, True, True
-
     def shed(self) -> None:
         """Lets in less when the whole fleet is short, classes of least worth for their work first. What a
         class costs is not told: its wanted time stands for it. Refusals go out at once, by the proxies."""
         if self.set.admit != "fraction" or not self.slices:
             return
-        room = self.mine() * sum(self.capacity(s) for s in sorted(self.servers) if self.ready(s))
+        room = sum(self.capacity(v.entry.id) for v in self.ready_views()) * len(self.slices) / self.set.slices
         offered = dict.fromkeys(range(len(self.set.classes)), 0.0)
         for number, rate in (pair for _, v in sorted(self.slices.items()) for pair in v.heat.items()):
             offered[number] += rate.value
@@ -535,9 +529,10 @@
                 lines[spare] = STANDBY
         return lines
 
-    def publish(self, plan: dict[int, list[int]]) -> None:
-        gone = (self.now - self.drained) * self.set.channel_lines_per_s * SLOW_CHANNEL
-        self.waiting, self.drained = max(0.0, self.waiting - gone), self.now
+    def publish(self, plan: Plan) -> None:
+        longest = self.set.channel_limit / (LOST * self.set.channel_lines_per_s)
+        self.marks = {n: mark for n, mark in self.marks.items() if mark[2] and self.now - mark[0] < longest}
+        self.waiting = sum(lines * len(late & self.proxies) for _, lines, late in self.marks.values())
         ordinary = self.now >= self.next_publish
         self.sent = [t for t in self.sent if t > self.now - self.set.messages_span_s - 1]
         full = self.set.messages_most and len(self.sent) >= self.set.messages_most - (1 if self.urgent else 5)
@@ -559,24 +554,27 @@
         must.sort(key=lambda n: (not whole.isdisjoint(self.slices[n].places), -self.heat(self.slices[n]), n))
         proxies, limit = max(1, len(self.proxies)), self.set.channel_limit
         budget = limit - self.waiting - self.set.channel_head_lines * proxies
-        orders = self.shut_out(plan, must, ordinary)
+        self.urgent = False
+        orders = self.shut_out(plan, must, ordinary, max(0, int((budget - 0.05 * limit) / proxies)))
         for number, urgent in [(n, True) for n in must] + [(n, False) for n in may]:
             changes = self.changes(number, plan[number], tidy=not urgent)
             room = budget - (1 - (URGENT if urgent else BACKLOG)) * limit
             if changes and (len(orders) + len(changes)) * proxies <= room:
                 orders += changes
                 self.commit(number, plan[number], changes)
-        if self.levels_due and (ordinary or orders):
-            orders += self.retry_orders()
+        retry = self.retry_orders() if self.levels_due and (ordinary or orders) else []
+        if retry and (len(orders) + len(retry)) * proxies <= budget - (1 - URGENT) * limit:
+            orders += retry
             self.levels_due = False
-        self.urgent = False
         if orders:
+            number = int(self.now * 1000) % 65536
+            orders.append(api.Mark(number, False))  # its answers tell how fast the channel really is
+            self.marks[number] = self.now, len(orders) + self.set.channel_head_lines, set(self.proxies)
             self.actions.extend(orders)
-            self.waiting += (len(orders) + self.set.channel_head_lines) * proxies
             self.sent.append(self.now)
             self.next_publish = self.now + max(1.0, self.set.instances / 2) * PUBLISH_S
 
-    def shut_out(self, plan: dict[int, list[int]], must: list[int], ordinary: bool) -> list[api.Action]:
+    def shut_out(self, plan: Plan, must: list[int], ordinary: bool, most: int) -> list[api.Action]:
         """Withdraws lost servers, at one line a proxy, where rewriting their tables would outlast the grace
         (waves, large fleets). They are let in when ready and no table names them against the plan."""
         held = {s for view in self.slices.values() for s in view.lines}
@@ -591,8 +589,10 @@
         back = [s for s in sorted(self.withdrawn) if self.ready(s) and s not in astray]
         again = sorted(self.withdrawn & held) if self.rejoined and ordinary else []
         self.rejoined = self.rejoined and not ordinary
-        self.withdrawn = (self.withdrawn | set(lost)) - set(back)
-        return [api.Withdraw(s, s not in back) for s in lost + sorted(set(again) | set(back))]
+        chosen = (lost + back + again)[:most]
+        self.urgent = len(chosen) < len(lost)  # the rest as soon as there is room
+        self.withdrawn = self.withdrawn.union(lost[:most]).difference(set(back) & set(chosen))
+        return [api.Withdraw(s, s not in back) for s in dict.fromkeys(chosen)]
 
     def changes(self, number: int, places: list[int], tidy: bool) -> list[api.SetLine]:
         """New lines first. Lines of servers that are shut out wait for an ordinary change."""
@@ -606,11 +606,11 @@
     def commit(self, number: int, places: list[int], changes: list[api.SetLine]) -> None:
         view = self.slices[number]
         view.default = next(iter(places), None) if view.default is None else view.default
-        lines = {} if self.set.single_writer else dict(view.lines)
-        lines.update((change.server, change.weight) for change in changes)
+        lines = ({} if self.set.single_writer else view.lines) | {c.server: c.weight for c in changes}
         view.lines, view.places = {s: w for s, w in lines.items() if w > 0}, list(places)
 
     def retry_orders(self) -> list[api.Action]:
-        # At most one further try, after proof that the first never ran: safe for every class.
-        levels = [(1 << k, v) for k, v in sorted(self.levels.items())] or [(0, 1.0)][: self.tries_told]
-        return [api.Admit(api.ALL_TABLES, classes, v, self.tries) for classes, v in levels]
+        tries = min(1, self.set.retry_default)  # after proof that the first never ran: safe for every class
+        usual = [(0, 1.0)] if tries < self.set.retry_default else []
+        levels = sorted((1 << k, v) for k, v in self.levels.items()) or usual
+        return [api.Admit(api.ALL_TABLES, classes, v, tries) for classes, v in levels]
--- a/tests/world.py
+++ b/tests/world.py
@@ -70,6 +70,10 @@
         self.mute: set[int] = set()
         self.silent_reports = False
         self.withdrawn: set[int] = set()
+        self.pace = 1.0  # the channel's real speed against the stated one
+        self.busy_until = START
+        self.under_way: list[tuple[float, int]] = []  # when a marked message will be applied by all
+        self.most_waiting = 0.0
         events: list[api.Event] = [api.ServerList("cached", 1, tuple(server(s) for s in servers))]
         events += [api.ProxyJoined(p, 0, 10.0, True) for p in range(self.settings.proxies)]
         for number in range(self.settings.slices):
@@ -81,7 +85,15 @@
     def tell(self, *events: api.Event) -> list[api.Action]:
         actions = self.director.handle(self.now, events)
         self.log.append((self.now, actions))
+        lines = sum(isinstance(a, api.SetLine | api.Admit | api.Withdraw | api.Mark) for a in actions)
+        if lines:
+            speed = self.settings.channel_lines_per_s * self.pace
+            sent = (lines + self.settings.channel_head_lines) * self.settings.proxies
+            self.busy_until = max(self.busy_until, self.now) + sent / speed
+            self.most_waiting = max(self.most_waiting, (self.busy_until - self.now) * speed)
         for action in actions:
+            if isinstance(action, api.Mark):
+                self.under_way.append((self.busy_until + self.settings.channel_delay_s, action.number))
             if isinstance(action, api.Withdraw):
                 (self.withdrawn.add if action.out else self.withdrawn.discard)(action.server)
             if isinstance(action, api.SetLine):
@@ -109,6 +121,9 @@
             events: list[api.Event] = [api.TimerDue(1)]
             if step % 2 == 0 and not self.silent_reports:
                 events = self.reports() + events
+            for due, number in [(d, n) for d, n in self.under_way if d <= self.now]:
+                self.under_way.remove((due, number))
+                events += [api.Applied(p, number, 0.0) for p in range(self.settings.proxies)]
             self.tell(*events)
 
     def reports(self) -> list[api.Event]:
