Urgent changes leave room for withdrawals; slices spread off cold servers at once

Urgent changes now leave a head and 15 lines a proxy free, withdrawals go out together, and any new places of a slice on a cold server are urgent.

--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -42,7 +42,8 @@
 SHED_AT, SHED_TO = 0.9, 0.75  # demand over the fleet's capacity from which less is let in, down to which
 LEVEL_LEAST = 0.2  # no class is refused more than all but this
 LEVEL_STEP = 0.08  # smaller changes of a level are not worth a message
-BACKLOG, URGENT = 0.5, 0.8  # parts of the channel's limit that ordinary and urgent changes may fill
+BACKLOG, MOST = 0.5, 0.95  # parts of the channel's limit that ordinary changes and all of them may fill
+SPARE = 15  # lines for each proxy that urgent changes leave free, and a head, for the next withdrawals
 LOST = 0.2  # a message counts as waiting until applied, or until the channel had sent it at this speed
 USUAL = 0.5  # load of the median server, where nothing tells it
 PROBES_KEPT = 200  # latest probes that tell how full servers are
@@ -283,7 +284,6 @@
         return mute and silent > max(1.5 * self.turn(), SILENT_S)
 
     def proved(self, view: ServerView) -> bool:
-        """Whether a server may have its next level."""
         wait: float = 1 if view.last_good > view.level_since else 2
         if view.level == 0:
             probed = self.set.probes and view.entry.zone not in self.blind
@@ -308,8 +308,7 @@
         return max(self.set.report_period_s, lines / max(self.set.report_lines_per_s, 1.0))
 
     def recent(self, rates: dict[int, Rate]) -> float:
-        """What was not heard of for long counts as nothing."""
-        window = max(2 * WINDOW_S, 5 * self.turn())
+        window = max(2 * WINDOW_S, 5 * self.turn())  # what was not heard of for longer counts as nothing
         return sum(rate.value for rate in rates.values() if self.now - rate.heard < window)
 
     def read_inflight(self, ready: list[ServerView]) -> None:
@@ -544,8 +543,8 @@
         must: list[int] = []
         for number, view in sorted(self.slices.items()):
             lost = [s for s in view.lines if not self.ready(s) and s not in self.withdrawn]
-            left = [s for s in view.places if s not in plan[number] and s in self.servers]
-            weak = [s for s in left if self.servers[s].level == 0 or self.warmth(s) < 1]
+            left = [s for s in view.places if s in self.servers and set(view.places) != set(plan[number])]
+            weak = [s for s in left if self.warmth(s) < 1 or not (self.servers[s].level or s in plan[number])]
             if lost or weak or not any(self.ready(s) and s not in self.withdrawn for s in view.lines):
                 must.append(number)
         may = sorted(self.slices.keys() - must) if ordinary and not stale else []
@@ -553,17 +552,18 @@
         whole = {s for s in self.servers if self.ready(s) and self.warmth(s) >= 1}
         must.sort(key=lambda n: (not whole.isdisjoint(self.slices[n].places), -self.heat(self.slices[n]), n))
         proxies, limit = max(1, len(self.proxies)), self.set.channel_limit
-        budget = limit - self.waiting - self.set.channel_head_lines * proxies
+        budget = MOST * limit - self.waiting - self.set.channel_head_lines * proxies
+        ample = budget - (self.set.channel_head_lines + SPARE) * proxies
         self.urgent = False
-        orders = self.shut_out(plan, must, ordinary, max(0, int((budget - 0.05 * limit) / proxies)))
+        orders = self.shut_out(plan, must, budget, ample)
         for number, urgent in [(n, True) for n in must] + [(n, False) for n in may]:
             changes = self.changes(number, plan[number], tidy=not urgent)
-            room = budget - (1 - (URGENT if urgent else BACKLOG)) * limit
+            room = ample if urgent else min(ample, budget - (MOST - BACKLOG) * limit)
             if changes and (len(orders) + len(changes)) * proxies <= room:
                 orders += changes
                 self.commit(number, plan[number], changes)
         retry = self.retry_orders() if self.levels_due and (ordinary or orders) else []
-        if retry and (len(orders) + len(retry)) * proxies <= budget - (1 - URGENT) * limit:
+        if retry and (len(orders) + len(retry)) * proxies <= ample:
             orders += retry
             self.levels_due = False
         if orders:
@@ -574,7 +574,7 @@
             self.sent.append(self.now)
             self.next_publish = self.now + max(1.0, self.set.instances / 2) * PUBLISH_S
 
-    def shut_out(self, plan: Plan, must: list[int], ordinary: bool, most: int) -> list[api.Action]:
+    def shut_out(self, plan: Plan, must: list[int], budget: float, ample: float) -> list[api.Action]:
         """Withdraws lost servers, at one line a proxy, where rewriting their tables would outlast the grace
         (waves, large fleets). They are let in when ready and no table names them against the plan."""
         held = {s for view in self.slices.values() for s in view.lines}
@@ -582,13 +582,13 @@
         told = min((self.servers[s].lost_since or self.now for s in lost), default=self.now)
         left = self.set.drain_grace_s - (self.now - told) - self.set.channel_delay_max_s - ROUND_S
         lines = sum(len(self.changes(n, plan[n], tidy=False)) for n in must) if lost else 0
-        ahead = (lines + self.set.channel_head_lines) * max(1, len(self.proxies)) + self.waiting
-        if ahead <= min(left * self.set.channel_lines_per_s, URGENT * self.set.channel_limit):
+        proxies = max(1, len(self.proxies))
+        if lines * proxies <= min(left * self.set.channel_lines_per_s - self.waiting, ample):
             lost = []
         astray = {s for n, view in self.slices.items() for s in view.lines if s not in plan[n]}
         back = [s for s in sorted(self.withdrawn) if self.ready(s) and s not in astray]
-        again = sorted(self.withdrawn & held) if self.rejoined and ordinary else []
-        self.rejoined = self.rejoined and not ordinary
+        again, self.rejoined = sorted(self.withdrawn & held) if self.rejoined else [], False
+        most = int(budget / proxies) if budget >= min(SPARE, len(lost)) * proxies else 0  # not one by one
         chosen = (lost + back + again)[:most]
         self.urgent = len(chosen) < len(lost)  # the rest as soon as there is room
         self.withdrawn = self.withdrawn.union(lost[:most]).difference(set(back) & set(chosen))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -300,3 +300,35 @@
     again = {a.server for _, acts in world.log[mark:] for a in acts if isinstance(a, api.Withdraw) and a.out}
     held = {s for t in world.tables.values() for s in t}
     assert again == {1, 2} & held != set()
+
+
+def test_withdrawals_go_out_together_and_find_room_after_urgent_changes() -> None:
+    """Two waves: the first fills the channel with tables, the second is still answered within the grace."""
+    servers = tuple(range(1, 13))
+    world = World(servers=servers, slices=120, channel_lines_per_s=400.0, channel_limit=600.0)
+    world.heat = dict.fromkeys(world.heat, 0.5)
+    world.run(5)
+    world.tell(api.ServerList("delta", 2, (server(1, api.GONE),)))
+    world.run(0.5)
+    mark = len(world.log)
+    world.tell(api.ServerList("delta", 3, tuple(server(s, api.GONE) for s in (2, 3, 4, 5))))
+    world.run(1)
+    orders = [[a for a in acts if isinstance(a, api.Withdraw)] for _, acts in world.log[mark:]]
+    assert [len(o) for o in orders if o] == [4]
+    assert all(not used(world, s) for s in (1, 2, 3, 4, 5))
+
+
+def test_hot_slice_leaves_a_cold_server_without_waiting_for_the_ordinary_pace() -> None:
+    world = World(slices=40)
+    world.heat = dict.fromkeys(world.heat, 0.8)
+    world.run(10)
+    world.tell(api.ServerList("delta", 2, (server(1, started=world.now),)))
+    world.run(2)
+    world.silent_reports = True  # ordinary changes hold still
+    world.run(6)
+    world.heat[0] = 26.0
+    world.tell(api.SliceHeat(0, 0, 260, 0, 10.0))
+    world.silent_reports = True
+    world.director.reported = world.now - 20.0
+    world.run(2)
+    assert world.load(1) <= 26.0 / 2 + 8.0
