--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -26,7 +26,7 @@
 CROWDED = 0.8  # and one above this has a service time that tells of the crowd
 JUMP = 1.6  # a capacity reading off by this factor is learned fast
 MISS, COLD_MISS = 1.7, 1.5  # work that a slice brings to a warm or cold server without its keys, per request
-SPLIT = 0.45  # a slice above this share of its server's capacity is spread, until below half of it
+SPLIT = 0.45  # a slice above this share of its server's capacity is spread, until below 0.55 of that
 PARTS_MOST = 4
 STANDBY = 0.004  # weight of the second line, where a proxy's further try finds another server
 SETTLE = 2.0  # after a start, report periods heard before the ordinary plan is trusted
@@ -281,7 +281,7 @@
         # Late reports are no silence, and one that still answers some is crowded: its capacity tells that.
         silent = self.reported - max(view.last_good, view.level_since, view.since)
         mute = (view.failing or 0.0) > FAILING or (seen and view.streak <= -PROBES_MISSED)
-        return mute and silent > max(1.5 * self.turn(), SILENT_S)
+        return mute and silent > max(1.5 * self.set.report_period_s, SILENT_S)
 
     def proved(self, view: ServerView) -> bool:
         wait: float = 1 if view.last_good > view.level_since else 2
@@ -308,7 +308,7 @@
         return max(self.set.report_period_s, lines / max(self.set.report_lines_per_s, 1.0))
 
     def recent(self, rates: dict[int, Rate]) -> float:
-        window = max(2 * WINDOW_S, 5 * self.turn())  # what was not heard of for longer counts as nothing
+        window = max(2 * WINDOW_S, 3 * self.turn())  # what was not heard of for longer counts as nothing
         return sum(rate.value for rate in rates.values() if self.now - rate.heard < window)
 
     def read_inflight(self, ready: list[ServerView]) -> None:
@@ -397,7 +397,7 @@
         for number, view in sorted(self.slices.items()):
             heat = self.heat(view)
             size = max((can.get(s, 0.0) for s in plan[number]), default=0.0) or max(can.values(), default=0.0)
-            limit = SPLIT / 2 if len(view.places) > 1 else SPLIT
+            limit = 0.55 * SPLIT if len(view.places) > 1 else SPLIT
             if size > 0 and heat > limit * size and not self.set.single_writer:
                 pieces[number] = min(PARTS_MOST, max(len(view.places), math.ceil(heat / (SPLIT * size))))
             part[number] = heat / pieces[number]
