--- /dev/null
+++ b/tests/test_size.py
@@ -0,0 +1,89 @@
+"""Full size and beyond: the work of a round is bounded by counting calls, and odd lists do no harm."""
+
+import sys
+from types import FrameType
+from typing import Any
+
+import pytest
+
+from puffintide import interface as api
+from tests.world import World, server
+
+
+def big_world(servers: int, per_server: int = 6) -> World:
+    names = ("busy", "rif", "lat_ms")
+    world = World(servers=tuple(range(1, servers + 1)), slices=servers * per_server, report_names=names)
+    world.settings = world.director.set
+    world.heat = {n: 2.0 + 3.0 * (n % 7 == 0) for n in world.heat}
+    return world
+
+
+def calls_in_a_round(world: World) -> int:
+    """Calls, built-in ones too, that one round makes when nothing is heard."""
+    count = 0
+
+    def tally(frame: FrameType, event: str, arg: Any) -> None:
+        nonlocal count
+        count += event in ("call", "c_call")
+
+    world.now += 0.25
+    sys.setprofile(tally)
+    try:
+        world.director.handle(world.now, [api.TimerDue(1)])
+    finally:
+        sys.setprofile(None)
+    return count
+
+
+def test_work_of_a_round_grows_with_the_fleet_and_not_with_its_square() -> None:
+    counts = []
+    for size in (40, 80, 160):
+        world = big_world(size)
+        world.run(6)
+        counts.append(max(calls_in_a_round(world) for _ in range(5)))
+        assert counts[-1] <= 120 * (size + len(world.heat))
+    assert counts[1] <= 2.6 * counts[0] and counts[2] <= 2.6 * counts[1]
+
+
+def test_orders_of_alternates_are_kept_while_the_list_stands() -> None:
+    world = big_world(40)
+    world.run(6)
+    orders = {n: id(world.director.ranking(n)) for n in world.heat}
+    world.run(6)
+    assert {n: id(world.director.ranking(n)) for n in world.heat} == orders
+    world.tell(api.ServerList("delta", 2, (server(1, api.GONE),)))
+    assert all(1 not in world.director.ranking(n) for n in world.heat)
+
+
+@pytest.mark.parametrize("left", [0, 1])
+def test_list_that_shrinks_to_one_or_none_does_no_harm(left: int) -> None:
+    world = big_world(20)
+    world.run(4)
+    world.tell(api.ServerList("full", 2, tuple(server(s) for s in range(1, left + 1))))
+    world.run(8)
+    world.tell(api.ServerList("full", 3, tuple(server(s) for s in range(1, 21))))
+    world.run(20)
+    assert all(world.open(n) for n in world.heat)
+
+
+def test_site_without_proxies_is_planned_for_all_the_same() -> None:
+    world = World(proxies=0)
+    world.run(5)
+    world.tell(api.ServerList("delta", 2, (server(1, api.GONE),)))
+    world.run(1)
+    assert all(1 not in t for t in world.tables.values())
+
+
+def test_capacity_is_not_learned_from_the_first_of_many_reports() -> None:
+    """After a start only some servers have been heard of; what they answered is not the whole."""
+    world = big_world(40)
+    world.run(12)
+    before = world.director.per_size
+    assert before is not None
+    view = world.director
+    view.handle(world.now, [api.SliceCharge(3, False)])
+    for v in view.servers.values():
+        v.good.clear()
+    world.now += 0.25
+    view.handle(world.now, [api.LoadReport(0, 1, 5, 0, 0.2, 1.0, (0.5, 1.0, 200.0)), api.TimerDue(1)])
+    assert view.per_size == before
