--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -29,12 +29,12 @@
 SPLIT = 0.45  # a slice above this share of its server's capacity is spread, until below 0.55 of that
 PARTS_MOST = 4
 STANDBY = 0.004  # weight of the second line, where a proxy's further try finds another server
-SETTLE = 2.0  # after a start, report periods heard before the ordinary plan is trusted
+SETTLE = 2.0  # report turns heard after a start before the ordinary plan and capacity are trusted
 PROBE_S = 0.8
 SILENT_S = 2.0  # time without a good answer before a server is suspect
 PROBES_MISSED = 3
 FAILING = 0.85  # share of failed tries that makes a server suspect
-BLIND = 0.9  # a zone with more slowed probes than this, unlike another, lies behind a slow link
+BLIND = 0.9  # a zone with more slowed or lost probes than this, unlike another: the link is slow, not they
 SAFE = 0.5  # part of the load that makes a cold server fall, sent where no warm server is left
 OUT_MOST = 0.6  # if more of the fleet than this looks bad, the cause is common: nobody is ejected
 STEP_S = 2.0  # time without trouble for each level up; doubled for each ejection if there are no probes
@@ -553,7 +553,7 @@
         must.sort(key=lambda n: (not whole.isdisjoint(self.slices[n].places), -self.heat(self.slices[n]), n))
         proxies, limit = max(1, len(self.proxies)), self.set.channel_limit
         budget = MOST * limit - self.waiting - self.set.channel_head_lines * proxies
-        ample = budget - (self.set.channel_head_lines + SPARE) * proxies
+        ample = budget - min((self.set.channel_head_lines + SPARE) * proxies, limit / 3)
         self.urgent = False
         orders = self.shut_out(plan, must, budget, ample)
         for number, urgent in [(n, True) for n in must] + [(n, False) for n in may]:
@@ -587,10 +587,10 @@
             lost = []
         astray = {s for n, view in self.slices.items() for s in view.lines if s not in plan[n]}
         back = [s for s in sorted(self.withdrawn) if self.ready(s) and s not in astray]
-        again, self.rejoined = sorted(self.withdrawn & held) if self.rejoined else [], False
+        again = sorted(self.withdrawn & held) if self.rejoined else []
         most = int(budget / proxies) if budget >= min(SPARE, len(lost)) * proxies else 0  # not one by one
         chosen = (lost + back + again)[:most]
-        self.urgent = len(chosen) < len(lost)  # the rest as soon as there is room
+        self.urgent, self.rejoined = len(chosen) < len(lost), len(chosen) < len(lost + back + again)
         self.withdrawn = self.withdrawn.union(lost[:most]).difference(set(back) & set(chosen))
         return [api.Withdraw(s, s not in back) for s in dict.fromkeys(chosen)]
 
