Levels leave more room where servers are less busy than meant

While a level is below 1 the room now grows by twice what servers are less busy than SHED_TO. Should also hold against capacity read too low; may let in too much where load reports lie.

--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -40,8 +40,8 @@
 STEP_S = 2.0  # time without trouble for each level up; doubled for each ejection if there are no probes
 LEVELS = (0.0, 0.15, 0.4, 1.0)
 SHED_AT, SHED_TO = 0.9, 0.75  # demand over the fleet's capacity from which less is let in, down to which
-LEVEL_LEAST = 0.2  # no class is refused more than all but this
-LEVEL_STEP = 0.08  # smaller changes of a level are not worth a message
+LEVEL_LEAST, LEVEL_STEP = 0.2, 0.08  # least share of a class let in, least change worth a message
+AGAIN = 2.0  # more room for each share that servers are less busy than levels meant
 BACKLOG, MOST = 0.5, 0.95  # parts of the channel's limit that ordinary changes and all of them may fill
 SPARE = 15  # lines for each proxy that urgent changes leave free, and a head, for the next withdrawals
 LOST = 0.2  # a message counts as waiting until applied, or until the channel had sent it at this speed
@@ -414,8 +414,7 @@
             return part[number] * (COLD_MISS if sid in raw else MISS)
 
         def place(number: int) -> int | None:
-            """The first alternate with room: first among those not above the fleet's mean load."""
-            for room in (min(ROOM, total / most), ROOM):
+            for room in (min(ROOM, total / most), ROOM):  # first those not above the fleet's mean load
                 for sid in self.ranking(number):
                     if sid in usable and sid not in plan[number]:
                         allowed = base[sid] + (room * can[sid] - base[sid]) / self.set.instances
@@ -495,8 +494,7 @@
         return plan
 
     def shed(self) -> None:
-        """Lets in less when the whole fleet is short, classes of least worth for their work first. What a
-        class costs is not told: its wanted time stands for it. Refusals go out at once, by the proxies."""
+        """Lets in less when the fleet is short, least worth for its work (told by the wanted time) first."""
         if self.set.admit != "fraction" or not self.slices:
             return
         room = sum(self.capacity(v.entry.id) for v in self.ready_views()) * len(self.slices) / self.set.slices
@@ -508,6 +506,8 @@
         room *= sum(work[k] * v for k, v in let_in.items())
         room /= max(sum(offered[k] * v for k, v in let_in.items()), 1e-9)
         levels = dict.fromkeys(offered, 1.0)
+        busy = [v.load for v in self.ready_views() if v.load is not None]  # clients come again
+        room *= 1 + AGAIN * (min(let_in.values()) < 1) * max(0.0, SHED_TO - sum(busy) / max(1, len(busy)))
         if sum(work.values()) > room * (SHED_TO if min(let_in.values()) < 1 else SHED_AT):
             excess = sum(work.values()) - room * SHED_TO
             for k in sorted(work, key=lambda k: self.set.classes[k].worth / self.set.classes[k].aim_s):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -330,3 +330,18 @@
     director.next_publish = world.now + 1.0
     director.publish(plan | {kept: [1, 2]})
     assert {a.table for a in director.actions if isinstance(a, api.SetLine)} == {kept}
+
+
+def test_levels_rise_where_servers_are_less_busy_than_meant() -> None:
+    """Refused clients come again and count in the heat, while the servers have room."""
+    world = World(admit="fraction")
+    world.heat = dict.fromkeys(world.heat, 16.0)
+    world.run(12)
+    low = min(world.director.levels.values())
+    assert low < 0.9
+    world.capacity = dict.fromkeys(world.capacity, 200.0)  # loads fall to a few hundredths, heat stays
+    world.director.per_size = None
+    for view in world.director.servers.values():
+        view.load, view.capacity = 0.1, 30.0
+    world.director.shed()
+    assert min(world.director.levels.values()) > low + 0.1
