--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -446,7 +446,7 @@
             home = view.default
             if not view.places or home is None or home in view.places:
                 continue
-            held = next((s for s in view.places if s in usable), None)
+            held = next((s for s in view.places if s in (usable if home in warm else can)), None)
             if held is None or (home in usable and load[home] <= RETURN * can[home]):
                 continue
             if home not in warm or load[held] + part[number] <= SHORT * can[held]:
