--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -345,3 +345,16 @@
         view.load, view.capacity = 0.1, 30.0
     world.director.shed()
     assert min(world.director.levels.values()) > low + 0.1
+
+
+def test_slices_on_ejected_servers_do_not_all_go_home_to_a_cold_one() -> None:
+    world = World()
+    world.run(5)
+    director = world.director
+    for number, view in director.slices.items():
+        view.default, view.places, view.lines = 1, [2 + number % 3], {2 + number % 3: 1.0}
+    for sid in (2, 3, 4):
+        director.servers[sid].level = 0
+    director.servers[1].entry = server(1, started=world.now)
+    plan = director.detour(director.project())
+    assert sum(world.heat[n] for n, places in plan.items() if places == [1]) <= 0.5 * 30.0
