--- /dev/null
+++ b/puffintide/__main__.py
@@ -0,0 +1,5 @@
+"""python -m puffintide"""
+
+from puffintide.cli.main import cli
+
+cli(prog_name="puffintide")
--- /dev/null
+++ b/puffintide/assigner/channel.py
@@ -0,0 +1,101 @@
+"""The way of orders to the proxies: one queue, paced by lines a second, in order. No I/O and no clock.
+
+A message leaves when the lines before it have been sent at the stated pace. A proxy that does not read holds its
+own messages back (parked), never those of others; what it may hold back is bounded, and past that its stream is
+given up, which the module sees as a proxy lost.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from puffintide.wire.messages import Order
+
+
+@dataclass(slots=True)
+class _Parked:
+    writable: bool = True
+    orders: deque[Order] = field(default_factory=deque)
+    lines: float = 0.0
+
+
+class Channel:
+    """put() what is ordered, take() what may leave now; waiting() is the rule's count of lines.
+
+    limit: lines that one proxy may hold back before its stream is given up.
+    """
+
+    def __init__(self, lines_per_s: float, limit: float) -> None:
+        self.lines_per_s = lines_per_s
+        self.limit = limit
+        self._queue: deque[tuple[int, Order]] = deque()
+        self._free_at = 0.0  # when the last message taken had left at the stated pace
+        self._parked: dict[int, _Parked] = {}
+        self._waiting = 0.0
+        self.most_waiting = 0.0
+        self.sent: dict[int, int] = {}  # messages by proxy, for the log
+
+    def join(self, proxy: int) -> None:
+        self.leave(proxy)
+        self._parked[proxy] = _Parked()
+
+    def leave(self, proxy: int) -> None:
+        """What waits for the proxy is lost with its stream."""
+        self._parked.pop(proxy, None)
+        lost = sum(order.cost for to, order in self._queue if to == proxy)
+        if lost:
+            self._queue = deque((to, order) for to, order in self._queue if to != proxy)
+            self._waiting -= lost
+
+    def put(self, proxy: int, order: Order) -> None:
+        if proxy in self._parked:
+            self._queue.append((proxy, order))
+            self._waiting += order.cost
+            self.most_waiting = max(self.most_waiting, self.waiting())
+
+    def waiting(self) -> float:
+        """Lines that wait, heads included, whether in the queue or held back by a proxy that does not read."""
+        return self._waiting + sum(parked.lines for parked in self._parked.values())
+
+    def take(self, now: float) -> tuple[list[tuple[int, Order]], list[int]]:
+        """(messages that leave now, proxies whose stream is given up as they hold back too much)."""
+        out: list[tuple[int, Order]] = []
+        while self._queue:
+            proxy, order = self._queue[0]
+            leaves = max(self._free_at, order.at) + order.cost / self.lines_per_s
+            if leaves > now:
+                break
+            self._queue.popleft()
+            self._waiting -= order.cost
+            self._free_at = leaves
+            parked = self._parked[proxy]
+            if parked.writable and not parked.orders:
+                out.append((proxy, order))
+                self.sent[proxy] = self.sent.get(proxy, 0) + 1
+            else:
+                parked.orders.append(order)
+                parked.lines += order.cost
+        given_up = [proxy for proxy, parked in sorted(self._parked.items()) if parked.lines > self.limit]
+        return out, given_up
+
+    def set_writable(self, proxy: int, writable: bool) -> list[Order]:
+        """Tells that a proxy reads again or not; gives what it had held back."""
+        parked = self._parked.get(proxy)
+        if parked is None:
+            return []
+        parked.writable = writable
+        if not writable:
+            return []
+        orders = list(parked.orders)
+        parked.orders.clear()
+        parked.lines = 0.0
+        self.sent[proxy] = self.sent.get(proxy, 0) + len(orders)
+        return orders
+
+    def next_due(self) -> float | None:
+        """When the next message leaves, if one waits."""
+        if not self._queue:
+            return None
+        order = self._queue[0][1]
+        return max(self._free_at, order.at) + order.cost / self.lines_per_s
--- /dev/null
+++ b/puffintide/assigner/runtime.py
@@ -0,0 +1,250 @@
+"""Turns what came in into the module's events, and the module's actions into effects. No I/O, no clock.
+
+Everything that happens between two ticks is one batch of events, as on the bench; what the module orders in its
+answer becomes one message for each proxy concerned. The runtime decides nothing: which proxies an action concerns
+follows from what they use.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from puffintide import interface as api
+from puffintide.policy import Director
+from puffintide.wire.messages import Charge, Entry, Level, Line, News, Order
+
+
+class Decider(Protocol):
+    """What the runtime needs of the module."""
+
+    def handle(self, now: float, events: Sequence[api.Event]) -> list[api.Action]: ...
+
+
+@dataclass(slots=True)
+class Effects:
+    """What a tick asks the service to do, in this order."""
+
+    writes: list[Line] = field(default_factory=list)  # to the store
+    clears: list[int] = field(default_factory=list)
+    orders: list[tuple[int, Order]] = field(default_factory=list)  # (proxy, message) for the channel
+    probes: list[int] = field(default_factory=list)
+    tells: list[tuple[int, bytes]] = field(default_factory=list)  # (peer or -1 for all, data)
+    watch: list[bool] = field(default_factory=list)
+    fetch: int = 0
+    logs: list[str] = field(default_factory=list)
+    batch: int = 0
+    events: tuple[api.Event, ...] = ()
+    actions: tuple[api.Action, ...] = ()
+    heard_at: float = 0.0  # when the first event of the batch came in
+
+
+@dataclass(slots=True)
+class _Bound:
+    """Tables that a proxy uses, by class; only at sites without slices."""
+
+    tables: dict[int, int] = field(default_factory=dict)
+
+
+class Runtime:
+    """Holds what one assigner knows of its streams; nothing of it outlives the process."""
+
+    def __init__(
+        self, settings: api.Settings, make: Callable[[api.Settings], Decider] = Director, batch: int = 0
+    ) -> None:
+        self.settings = settings
+        self.decider = make(settings)
+        self.batch = batch
+        self.proxies: dict[int, int] = {}  # zone by proxy
+        self.addresses: dict[int, str] = {}
+        self.tokens: dict[int, int] = {}  # slices in charge
+        self.withdrawn: set[int] = set()
+        self.levels: list[Level] = []  # for every table: they go along with later messages to new proxies
+        self._tables: dict[int, dict[int, float]] = {}  # without slices: by number
+        self._bound: dict[int, _Bound] = {}
+        self._started: dict[tuple[int, int], float] = {}
+        self._events: list[api.Event] = []
+        self._heard_at = 0.0
+        self._timers: list[tuple[float, int, int]] = []
+        self._timer_count = 0
+
+    # What comes in ------------------------------------------------------------------------------
+
+    def hear(self, now: float, *events: api.Event) -> None:
+        if not self._events:
+            self._heard_at = now
+        self._events.extend(events)
+
+    def news(self, now: float, news: News) -> None:
+        """A list from outside. Ages become times on our own clock once for each life of a server."""
+        servers = []
+        for e in news.servers:
+            self.addresses[e.id] = e.address or self.addresses.get(e.id, "")
+            servers.append(api.Server(e.id, e.zone, e.kind, e.cell, e.state, e.weight, self._start(now, e)))
+        self.hear(now, api.ServerList(news.kind, news.version, tuple(servers)))
+
+    def _start(self, now: float, entry: Entry) -> float:
+        if entry.age_s < 0:
+            return 0.0
+        key = (entry.id, entry.start)
+        if key not in self._started:
+            self._started[key] = now - entry.age_s
+        return self._started[key]
+
+    def charge(self, now: float, charge: Charge) -> None:
+        """A slice is given, with its table."""
+        self.tokens[charge.slice] = charge.token
+        self.addresses.update({h.server: h.address for h in charge.lines if h.address})
+        stored = [api.StoredLine(charge.slice, h.server, h.weight) for h in charge.lines]
+        self.hear(now, api.SliceCharge(charge.slice, True), *stored)
+
+    def taken(self, now: float, number: int) -> None:
+        if self.tokens.pop(number, None) is not None:
+            self.hear(now, api.SliceCharge(number, False))
+
+    def joined(self, now: float, proxy: int, zone: int, rate: float, fresh: bool) -> None:
+        self.proxies[proxy] = zone
+        self._bound[proxy] = _Bound()
+        self.hear(now, api.ProxyJoined(proxy, zone, rate, fresh))
+
+    def left(self, now: float, proxy: int) -> None:
+        if self.proxies.pop(proxy, None) is not None:
+            self._bound.pop(proxy, None)
+            self.hear(now, api.ProxyLeft(proxy))
+
+    # Ticks --------------------------------------------------------------------------------------
+
+    def next_timer(self) -> float | None:
+        return self._timers[0][0] if self._timers else None
+
+    def busy(self) -> bool:
+        return bool(self._events)
+
+    def tick(self, now: float, first: bool = False) -> Effects | None:
+        """Hands the waiting events and due timers to the module; None when there was nothing."""
+        while self._timers and self._timers[0][0] <= now:
+            _, _, name = heapq.heappop(self._timers)
+            self.hear(now, api.TimerDue(name))
+        if not self._events and not first:
+            return None
+        events, self._events = tuple(self._events), []
+        actions = tuple(self.decider.handle(now, events))
+        self.batch += 1
+        effects = Effects(batch=self.batch, events=events, actions=actions, heard_at=self._heard_at)
+        self._carry_out(now, actions, effects)
+        return effects
+
+    def _carry_out(self, now: float, actions: tuple[api.Action, ...], out: Effects) -> None:
+        to_all: list[api.Action] = []
+        bound: dict[int, list[api.BindProxy]] = {}
+        mark: api.Mark | None = None
+        for action in actions:
+            match action:
+                case api.SetTimer(after_s, name):
+                    self._timer_count += 1
+                    heapq.heappush(self._timers, (now + after_s, self._timer_count, name))
+                case api.Probe(server):
+                    out.probes.append(server)
+                case api.Tell(peer, data):
+                    out.tells.append((-1 if peer == 0xFFFF else peer, data))
+                case api.WatchList(on):
+                    out.watch.append(on)
+                case api.FetchList():
+                    out.fetch += 1
+                case api.Log(text):
+                    out.logs.append(text)
+                case api.Mark():
+                    mark = action
+                case api.BindProxy(proxy):
+                    bound.setdefault(proxy, []).append(action)
+                case api.SetLine() | api.ClearTable() | api.Withdraw() | api.Admit():
+                    to_all.append(action)
+        lines, clears, withdrawals, levels = self._sort(to_all)
+        if self.settings.slices:
+            out.writes, out.clears = lines, clears
+        else:
+            self._keep(lines, clears)
+        for proxy in sorted(self.proxies):
+            order = self._order(now, proxy, lines, clears, withdrawals, levels, bound.get(proxy, []), mark)
+            if order is not None:
+                out.orders.append((proxy, order))
+
+    def _sort(self, actions: list[api.Action]) -> tuple[list[Line], list[int], dict[int, bool], list[Level]]:
+        lines: list[Line] = []
+        clears: list[int] = []
+        withdrawals: dict[int, bool] = {}
+        levels: list[Level] = []
+        for action in actions:
+            match action:
+                case api.SetLine(table, server, weight):
+                    if not self.settings.slices or table in self.tokens:
+                        token = self.tokens.get(table, 0)
+                        lines.append(Line(table, server, weight, token, self.addresses.get(server, "")))
+                case api.ClearTable(table):
+                    lines = [line for line in lines if line.table != table]
+                    clears.append(table)
+                case api.Withdraw(server, gone):
+                    withdrawals[server] = gone
+                    (self.withdrawn.add if gone else self.withdrawn.discard)(server)
+                case api.Admit(table, classes, level, retry):
+                    told = Level(table, classes, level, retry)
+                    levels.append(told)
+                    if table == api.ALL_TABLES:
+                        self.levels = [x for x in self.levels if x.classes != classes] + [told]
+        return lines, clears, withdrawals, levels
+
+    def _keep(self, lines: list[Line], clears: list[int]) -> None:
+        for table in clears:
+            self._tables.pop(table, None)
+        for line in lines:
+            table_lines = self._tables.setdefault(line.table, {})
+            if line.weight > 0:
+                table_lines[line.server] = line.weight
+            else:
+                table_lines.pop(line.server, None)
+
+    def _order(
+        self,
+        now: float,
+        proxy: int,
+        lines: list[Line],
+        clears: list[int],
+        withdrawals: dict[int, bool],
+        levels: list[Level],
+        binds: list[api.BindProxy],
+        mark: api.Mark | None,
+    ) -> Order | None:
+        pairs: list[tuple[int, int]] = []
+        if not self.settings.slices:
+            mine = self._bound[proxy].tables
+            used = set(mine.values())
+            lines = [line for line in lines if line.table in used]
+            clears = [table for table in clears if table in used]
+            levels = [x for x in levels if x.table in used or x.table == api.ALL_TABLES]
+            for bind in binds:
+                pairs.append((bind.table, bind.classes))
+                every = range(len(self.settings.classes))
+                mine.update({k: bind.table for k in every if not bind.classes or bind.classes >> k & 1})
+                table = sorted(self._tables.get(bind.table, {}).items())
+                fresh = [Line(bind.table, s, w, 0, self.addresses.get(s, "")) for s, w in table]
+                lines = [line for line in lines if line.table != bind.table] + fresh
+                levels = [x for x in levels if x.table != api.ALL_TABLES] + self.levels
+        out = [s for s, gone in sorted(withdrawals.items()) if gone]
+        back = [s for s, gone in sorted(withdrawals.items()) if not gone]
+        size = len(lines) + len(clears) + len(out) + len(back) + len(levels) + len(pairs)
+        if size == 0 and not (mark is not None and mark.everyone):
+            return None
+        return Order(
+            batch=self.batch,
+            at=now,
+            cost=size + (mark is not None) + self.settings.channel_head_lines,
+            lines=lines,
+            clear=clears,
+            out=out,
+            back=back,
+            levels=levels,
+            bind=pairs,
+            mark=None if mark is None else mark.number,
+        )
--- /dev/null
+++ b/puffintide/assigner/service.py
@@ -0,0 +1,388 @@
+"""The assigner on sockets: streams in, effects out. What it decides comes from the module alone."""
+
+from __future__ import annotations
+
+import os
+import random
+from typing import Any
+
+from puffintide import interface as api
+from puffintide.assigner.channel import Channel
+from puffintide.assigner.reports import Gatherer
+from puffintide.assigner.runtime import Effects, Runtime
+from puffintide.config.loader import Config, settings
+from puffintide.wire import messages as m
+from puffintide.wire.messages import AnyMessage
+from puffintide.wire.session import Greeting
+from puffintide.wire.stream import Acceptor, Dialler, Stream
+
+STATS_S = 5.0
+
+
+class AssignerService:
+    """One assigner process. life: which start of it this is; rises with each."""
+
+    def __init__(self, reactor: Any, config: Config, log: Any, life: int) -> None:
+        assert config.assigner is not None
+        self.reactor, self.config, self.me, self.log, self.life = reactor, config, config.assigner, log, life
+        self.settings = settings(config, self.me.id, self.me.zone, self.me.seed)
+        self.runtime = Runtime(self.settings)
+        self.channel = Channel(self.settings.channel_lines_per_s, self.settings.channel_limit)
+        self.reports = Gatherer(self.settings.report_lines_per_s, by_proxy=self.settings.slices == 0)
+        self.draw = random.Random(f"{self.me.seed}:{self.me.id}:{life}").random
+        self.proxies: dict[int, Stream] = {}
+        self.store: Stream | None = None
+        self.list: Stream | None = None
+        self.list_version = -1
+        self.probers: dict[int, Prober] = {}
+        self.peers: dict[int, Dialler] = {}
+        self.tick_at: Any = None
+        self.drain_at: Any = None
+        self.busy_s = 0.0
+        self.rounds = 0
+        self.orders = 0
+        self.late_most = 0.0
+        self.marks: dict[int, float] = {}  # when each was ordered
+
+    # Streams ------------------------------------------------------------------------------------
+
+    def hello(self) -> m.Hello:
+        name = self.config.deployment.name
+        return m.Hello(m.VERSION, "assigner", self.me.id, self.me.zone, name, start=self.life)
+
+    def factory(self) -> Acceptor:
+        def me() -> m.Welcome:
+            return m.Welcome(m.VERSION, "assigner", self.me.id, self.life)
+
+        return Acceptor(self.reactor, me, self._from_dialled, self._proxy_lost, self._judge)
+
+    def _judge(self, hello: Greeting) -> str | None:
+        if hello.role not in ("proxy", "assigner"):
+            return f"role {hello.role!r} is not served by an assigner"
+        assert isinstance(hello, m.Hello)
+        if hello.deployment != self.config.deployment.name:
+            return f"deployment {hello.deployment!r} is not {self.config.deployment.name!r}"
+        if hello.role == "proxy" and not 0 <= hello.id < 65535:
+            return f"proxy number {hello.id} is not below 65535"
+        return None
+
+    def start(self) -> None:
+        now = self.now()
+        self.runtime.hear(now, api.ServerList("cached", 0, ()))
+        Dialler(
+            self.reactor, self.me.store, self.hello, self._from_store, self._store_lost, self.draw
+        ).start()
+        Dialler(self.reactor, self.me.list, self.hello, self._from_list, self._list_lost, self.draw).start()
+        for number, address in enumerate(self.me.peers):
+            if number != self.me.id:
+                self.peers[number] = Dialler(
+                    self.reactor, address, self.hello, self._from_peer, None, self.draw
+                ).start()
+        self._schedule(0.0)
+        self.reactor.callLater(self.settings.report_period_s, self._gather)
+        self.reactor.callLater(STATS_S, self._stats)
+
+    def now(self) -> float:
+        return float(self.reactor.seconds())
+
+    def _from_dialled(self, stream: Stream, message: AnyMessage) -> None:
+        now = self.now()
+        match message:
+            case m.Hello(role="proxy"):
+                self._proxy_joined(now, stream, message)
+            case m.Hello():
+                stream.tag = ("assigner", message.id)
+            case m.Sums() if stream.tag and stream.tag[0] == "proxy":
+                zone = self.runtime.proxies.get(stream.tag[1])
+                if zone is not None:
+                    self.reports.add(now, stream.tag[1], zone, message)
+            case m.Applied() if stream.tag and stream.tag[0] == "proxy":
+                took = now - self.marks.get(message.mark, now)
+                self.late_most = max(self.late_most, took)
+                self.runtime.hear(now, api.Applied(stream.tag[1], message.mark, took))
+                self._schedule()
+            case m.Tell():
+                self.runtime.hear(now, api.PeerMessage(message.sender, message.data[:256]))
+                self._schedule()
+            case _:
+                stream.refuse(f"a {type(message).__name__} is not for an assigner")
+
+    def _proxy_joined(self, now: float, stream: Stream, hello: m.Hello) -> None:
+        old = self.proxies.get(hello.id)
+        if old is not None:
+            old.tag = None
+            old.abort("its proxy dialled anew")
+            self._forget_proxy(now, hello.id)
+        stream.tag = ("proxy", hello.id)
+        self.proxies[hello.id] = stream
+        self.channel.join(hello.id)
+        self.runtime.joined(now, hello.id, hello.zone, 0.0, hello.fresh)
+        self.log.info("proxy_joined", proxy=hello.id, zone=hello.zone, fresh=hello.fresh)
+        self._schedule()
+
+    def _forget_proxy(self, now: float, proxy: int) -> None:
+        self.proxies.pop(proxy, None)
+        self.channel.leave(proxy)
+        self.runtime.left(now, proxy)
+
+    def _proxy_lost(self, stream: Stream, why: AnyMessage) -> None:
+        if stream.tag and stream.tag[0] == "proxy" and self.proxies.get(stream.tag[1]) is stream:
+            self._forget_proxy(self.now(), stream.tag[1])
+            self.log.warning("proxy_left", proxy=stream.tag[1], reason=stream.reason)
+            self._schedule()
+
+    def _from_store(self, stream: Stream, message: AnyMessage) -> None:
+        now = self.now()
+        match message:
+            case m.Welcome():
+                self.store = stream
+                self.log.info("store_reached")
+            case m.Charge():
+                self.runtime.charge(now, message)
+            case m.Taken():
+                self.runtime.taken(now, message.slice)
+                self.reports.forget_slice(message.slice)
+                self.log.info("slice_taken", slice=message.slice)
+            case m.Refused():
+                self.log.warning("write_refused", slice=message.slice, reason=message.reason)
+        self._schedule()
+
+    def _store_lost(self, why: str) -> None:
+        if self.store is not None:
+            self.log.warning("store_lost", reason=why)
+        self.store = None
+
+    def _from_list(self, stream: Stream, message: AnyMessage) -> None:
+        match message:
+            case m.Welcome():
+                self.list = stream
+                self.log.info("list_reached")
+                if not self.settings.list_is_asked:
+                    stream.send(m.Watch(True, self.list_version))
+            case m.News():
+                if message.kind != "failed":
+                    self.list_version = message.version
+                self.runtime.news(self.now(), message)
+                states = {e.id: e.state for e in message.servers}
+                self.log.info("list", kind=message.kind, version=message.version, states=states)
+                self._schedule()
+
+    def _list_lost(self, why: str) -> None:
+        if self.list is not None:
+            self.log.warning("list_lost", reason=why)
+            if self.settings.list_is_asked:
+                self.runtime.news(self.now(), m.News("failed", self.list_version))
+        self.list = None
+
+    def _from_peer(self, stream: Stream, message: AnyMessage) -> None:
+        stream.tag = "peer"
+
+    # Ticks --------------------------------------------------------------------------------------
+
+    def _schedule(self, after_s: float | None = None) -> None:
+        """Events of one tick are one batch, so that a burst of news makes one round."""
+        if after_s is None:
+            after_s = self.me.tick_s
+        if self.tick_at is not None and self.tick_at.active():
+            if self.tick_at.getTime() <= self.now() + after_s:
+                return
+            self.tick_at.cancel()
+        self.tick_at = self.reactor.callLater(after_s, self._tick)
+
+    def _tick(self) -> None:
+        began = self.now()
+        cpu = os.times()
+        effects = self.runtime.tick(began)
+        if effects is not None:
+            self._act(began, effects)
+        after = os.times()
+        self.busy_s += after.user + after.system - cpu.user - cpu.system
+        timer = self.runtime.next_timer()
+        if self.runtime.busy():
+            self._schedule()
+        elif timer is not None:
+            self._schedule(max(0.001, timer - self.now()))
+
+    def _act(self, now: float, effects: Effects) -> None:
+        self.rounds += 1
+        if effects.writes or effects.clears:
+            if self.store is not None:
+                self.store.send(m.Write(effects.batch, effects.writes, effects.clears))
+            else:
+                self.log.warning("write_lost", batch=effects.batch, lines=len(effects.writes))
+        for proxy, order in effects.orders:
+            self.channel.put(proxy, order)
+            if order.mark is not None:
+                self.marks = {k: at for k, at in self.marks.items() if now - at < 120}
+                self.marks[order.mark] = now
+        self._drain()
+        for server in effects.probes:
+            self._probe(now, server)
+        for peer, data in effects.tells:
+            for number in sorted(self.peers) if peer < 0 else [peer]:
+                stream = self.peers[number].stream if number in self.peers else None
+                if stream is not None:
+                    stream.send(m.Tell(self.me.id, data[:256]))
+        if self.list is not None:
+            for on in effects.watch:
+                self.list.send(m.Watch(on, self.list_version))
+            for _ in range(effects.fetch):
+                self.list.send(m.Fetch())
+        elif effects.watch or effects.fetch:
+            self.runtime.news(now, m.News("failed", self.list_version))
+        for text in effects.logs:
+            self.log.info("module", text=text)
+        self._log_decision(now, effects)
+
+    def _log_decision(self, now: float, effects: Effects) -> None:
+        kinds = (api.SetLine, api.ClearTable, api.Withdraw, api.Admit, api.BindProxy)
+        told = [a for a in effects.actions if isinstance(a, kinds)]
+        if not told:
+            return
+        causes: dict[str, int] = {}
+        for event in effects.events:
+            causes[type(event).__name__] = causes.get(type(event).__name__, 0) + 1
+        self.orders += 1
+        self.log.info(
+            "decision",
+            round=effects.batch,
+            cause=causes,
+            actions=[{type(a).__name__: [getattr(a, f) for f in a.__slots__]} for a in told[:200]],
+            more=max(0, len(told) - 200),
+            proxies=len(effects.orders),
+            waiting=round(self.channel.waiting()),
+            after_ms=round((self.now() - effects.heard_at) * 1000, 2),
+        )
+
+    # The channel --------------------------------------------------------------------------------
+
+    def _drain(self) -> None:
+        for number, stream in sorted(self.proxies.items()):
+            for order in self.channel.set_writable(number, stream.writable):
+                stream.send(order)
+        leave, given_up = self.channel.take(self.now())
+        for proxy, order in leave:
+            self.proxies[proxy].send(order)
+        for proxy in given_up:
+            self.proxies[proxy].abort("does not read its orders")
+        if self.drain_at is not None and self.drain_at.active():
+            return
+        due = self.channel.next_due()
+        if due is not None:
+            self.drain_at = self.reactor.callLater(max(0.002, due - self.now()), self._drain)
+        elif self.channel.waiting() > 0:
+            self.drain_at = self.reactor.callLater(0.05, self._drain)
+
+    # Reports and probes -------------------------------------------------------------------------
+
+    def _gather(self) -> None:
+        now = self.now()
+        self.runtime.hear(now, *self.reports.take(now))
+        if self.runtime.busy():
+            self._schedule()
+        self.reactor.callLater(self.settings.report_period_s, self._gather)
+
+    def _probe(self, now: float, server: int) -> None:
+        address = self.runtime.addresses.get(server, "")
+        if not address or not self.settings.probes:
+            return
+        prober = self.probers.get(server)
+        if prober is None or prober.address != address:
+            if prober is not None:
+                prober.stop()
+            prober = self.probers[server] = Prober(self, server, address)
+        prober.probe(now)
+
+    def probed(self, server: int, status: int, took_s: float, values: tuple[float, ...]) -> None:
+        self.runtime.hear(self.now(), api.ProbeResult(server, status, took_s, values))
+        self._schedule()
+
+    def _stats(self) -> None:
+        self.log.info(
+            "stats",
+            cpu_s=round(sum(os.times()[:2]), 3),
+            module_s=round(self.busy_s, 3),
+            rounds=self.rounds,
+            orders=self.orders,
+            proxies=len(self.proxies),
+            slices=len(self.runtime.tokens),
+            waiting=round(self.channel.waiting()),
+            most_waiting=round(self.channel.most_waiting),
+            messages=sum(self.channel.sent.values()),
+            applied_late_s=round(self.late_most, 3),
+            rss_kb=rss_kb(),
+        )
+        self.reactor.callLater(STATS_S, self._stats)
+
+
+def rss_kb() -> int:
+    """Memory of this process, KiB, from the system's page counts."""
+    with open("/proc/self/statm", encoding="ascii") as statm:
+        return int(statm.read().split()[1]) * 4
+
+
+class Prober:
+    """Probes of one server over a stream that is kept; one probe is under way at a time."""
+
+    def __init__(self, owner: AssignerService, server: int, address: str) -> None:
+        self.owner, self.server, self.address = owner, server, address
+        self.timeout_s = owner.config.probes.timeout_s
+        self.stream: Stream | None = None
+        self.out: tuple[int, float] | None = None  # id and when it was asked for
+        self.id = 0
+        self.timer: Any = None
+        self.dialler = self._dial()
+
+    def _dial(self) -> Dialler:
+        return Dialler(
+            self.owner.reactor,
+            self.address,
+            self.owner.hello,
+            self._message,
+            self._lost,
+            again=False,
+            connect_s=self.timeout_s,
+            dead_s=60.0,
+            ping_s=30.0,
+        ).start()
+
+    def probe(self, now: float) -> None:
+        if self.out is not None:
+            return
+        self.id += 1
+        self.out = (self.id, now)
+        self.timer = self.owner.reactor.callLater(self.timeout_s, self._end, m.TIMEOUT, ())
+        if self.stream is not None:
+            self.stream.send(m.Probe(self.id))
+        elif self.id > 1:
+            self.dialler.stop()
+            self.dialler = self._dial()
+
+    def _message(self, stream: Stream, message: AnyMessage) -> None:
+        match message:
+            case m.Welcome():
+                self.stream = stream
+                if self.out is not None:
+                    stream.send(m.Probe(self.out[0]))
+            case m.Probed(id=number, status=status, values=values):
+                if self.out is not None and number == self.out[0]:
+                    self._end(status, tuple(values))
+
+    def _lost(self, why: str) -> None:
+        had, self.stream = self.stream is not None, None
+        if self.out is not None:
+            self._end(m.RESET if had else m.UNREACHABLE, ())
+
+    def _end(self, status: int, values: tuple[float, ...]) -> None:
+        if self.out is None:
+            return
+        took = self.owner.now() - self.out[1]
+        self.out = None
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        if status == m.TIMEOUT and self.stream is None:
+            status = m.UNREACHABLE
+        self.owner.probed(self.server, status, took, values)
+
+    def stop(self) -> None:
+        self.dialler.stop()
--- /dev/null
+++ b/puffintide/audit/__init__.py
@@ -0,0 +1,1 @@
+"""The five rules, checked from records of what passed between the parties."""
--- /dev/null
+++ b/puffintide/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, on click and rich."""
--- /dev/null
+++ b/puffintide/cli/main.py
@@ -0,0 +1,229 @@
+"""puffintide: the commands. Each only reads its arguments, calls the package that does the work, and prints."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+from puffintide.config.loader import Config, ConfigError, load
+
+out_console = Console(highlight=False)
+
+
+class Failure(click.ClickException):
+    """One line a fault, exit code 2."""
+
+    exit_code = 2
+
+    def show(self, file: Any = None) -> None:
+        for line in self.message.splitlines():
+            click.echo(f"puffintide: {line}", err=True)
+
+
+def _load(path: str, *need: str) -> Config:
+    try:
+        return load(path, need)
+    except ConfigError as error:
+        raise Failure(str(error)) from None
+
+
+@click.group()
+@click.version_option(package_name="puffintide", prog_name="puffintide")
+def cli() -> None:
+    """A traffic director: hands tables to plain proxies and keeps service good when things fail."""
+
+
+@cli.command("check-config")
+@click.argument("file")
+def check_config(file: str) -> None:
+    """Checks an INI file; tells every error at once."""
+    config = _load(file)
+    click.echo(f"{file}: good ({config.deployment.name}: {config.deployment.slices} slices, "
+               f"{config.deployment.assigners} assigners, {len(config.classes)} classes)")  # fmt: skip
+
+
+@cli.command()
+@click.option("--config", "path", required=True, help="INI file with an [assigner] section.")
+@click.option("--life", default=0, help="Which start of this assigner it is; by default the time.")
+def assigner(path: str, life: int) -> None:
+    """Runs one assigner until it is told to stop."""
+    from puffintide.cli.processes import run_assigner
+
+    run_assigner(_load(path, "assigner"), life)
+
+
+@cli.command()
+@click.option("--config", "path", required=True, help="INI file with a [store] section.")
+def store(path: str) -> None:
+    """Runs the store of tables and charge."""
+    from puffintide.cli.processes import run_store
+
+    run_store(_load(path, "store"))
+
+
+@cli.group()
+def standin() -> None:
+    """Stand-ins of a day; `day run` starts them."""
+
+
+@standin.command("fleet")
+@click.option("--out", required=True)
+def standin_fleet(out: str) -> None:
+    """Session servers and their list."""
+    from puffintide.cli.processes import run_fleet
+
+    run_fleet(Path(out))
+
+
+@standin.command("tap")
+@click.option("--out", required=True)
+def standin_tap(out: str) -> None:
+    """The relay that records."""
+    from puffintide.cli.processes import run_tap
+
+    run_tap(Path(out))
+
+
+@standin.command("proxies")
+@click.option("--out", required=True)
+@click.option("--first", type=int, required=True)
+@click.option("--last", type=int, required=True)
+def standin_proxies(out: str, first: int, last: int) -> None:
+    """Plain dispatchers, numbered from first up to last."""
+    from puffintide.cli.processes import run_proxies
+
+    run_proxies(Path(out), first, last)
+
+
+@standin.command("clients")
+@click.option("--out", required=True)
+def standin_clients(out: str) -> None:
+    """Clients that play the day's requests."""
+    from puffintide.cli.processes import run_clients
+
+    run_clients(Path(out))
+
+
+@cli.group()
+def day() -> None:
+    """Scripted days on loopback."""
+
+
+@day.command("check")
+@click.argument("file")
+def day_check(file: str) -> None:
+    """Checks a day's script without running it."""
+    from puffintide.days.faults import plan
+
+    config = _load(file, "day", "fleet", "load")
+    steps = plan(config, config.day.seed if config.day else 0)
+    click.echo(f"{file}: good ({len(config.faults)} faults, {len(steps)} steps)")
+
+
+@day.command("run")
+@click.argument("file")
+@click.option("--out", required=True, help="Folder for records, logs and configurations.")
+@click.option("--seed", type=int, default=None, help="Instead of the script's own.")
+@click.option("--quiet", is_flag=True, help="No progress bar.")
+def day_run(file: str, out: str, seed: int | None, quiet: bool) -> None:
+    """Plays a day, audits it and prints the verdict. Exit: 0 kept, 1 a rule broke, 2 bad input, 3 can't tell."""
+    from puffintide.days.place import PortError
+    from puffintide.days.runner import DayError, Player
+
+    config = _load(file, "day", "fleet", "load")
+    text = Path(file).read_text(encoding="utf-8")
+    if seed is not None:
+        text = _with_seed(text, seed)
+    assert config.day is not None
+    player = Player(config, text, Path(out), config.day.seed if seed is None else seed)
+    try:
+        if quiet:
+            player.play()
+        else:
+            _with_progress(player)
+    except (DayError, PortError) as error:
+        raise Failure(str(error)) from None
+    except KeyboardInterrupt:
+        raise Failure("stopped by hand; no verdict") from None
+    sys.exit(_verdict(Path(out)))
+
+
+def _with_seed(text: str, seed: int) -> str:
+    import configparser
+    import io
+
+    parser = configparser.ConfigParser(interpolation=None, inline_comment_prefixes=(";",))
+    parser.read_string(text)
+    parser["day"]["seed"] = str(seed)
+    made = io.StringIO()
+    parser.write(made)
+    return made.getvalue()
+
+
+def _with_progress(player: Any) -> None:
+    from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
+
+    columns = (TextColumn("{task.description}"), BarColumn(), TimeElapsedColumn())
+    with Progress(*columns, console=Console(stderr=True), transient=True) as progress:
+        task = progress.add_task("starting", total=1.0)
+        player.tell = lambda text, share: progress.update(task, description=text, completed=share)
+        player.play()
+
+
+@cli.command()
+@click.argument("folder")
+def audit(folder: str) -> None:
+    """Judges the records of a day again. Exit codes as of `day run`."""
+    sys.exit(_verdict(Path(folder)))
+
+
+def _verdict(folder: Path) -> int:
+    from puffintide.audit.records import RecordError
+    from puffintide.audit.rules import RULES
+    from puffintide.days.verdict import judge, quantile
+
+    try:
+        verdict = judge(folder)
+    except ConfigError as error:
+        raise Failure(str(error)) from None
+    except (RecordError, OSError) as error:
+        raise Failure(str(error)) from None
+    judgement, service = verdict.judgement, verdict.service
+    table = Table(
+        "rule", "verdict", "cases", "nearest to its limit", title=f"Rules, from the records in {folder}"
+    )
+    for rule in RULES:
+        broken = sum(f.rule == rule for f in judgement.findings)
+        word = f"BROKEN {broken}x" if broken else "unknown" if verdict.gaps else "kept"
+        table.add_row(rule, word, str(judgement.checked[rule]), f"{judgement.nearest[rule]:.0%}")
+    out_console.print(table)
+    table = Table("class", "worth served", "p50 s", "p99 s", title="Service, as clients saw it (stand-ins)")
+    for name, share in service.by_class.items():
+        times = service.times.get(name, [])
+        table.add_row(name, f"{share:.3f}", f"{quantile(times, 0.5):.3f}", f"{quantile(times, 0.99):.3f}")
+    table.add_row("all", f"{service.whole:.3f}", "", "")
+    table.add_row("worst 10 s", f"{service.worst_window:.3f}", "", "")
+    out_console.print(table)
+    drain = judgement.drain_s
+    out_console.print(
+        f"{service.asked} requests; not served: "
+        + (", ".join(f"{why} {n}" for why, n in sorted(service.reasons.items())) or "none")
+    )
+    if drain:
+        out_console.print(
+            f"from hearing that a server drains or is gone to the last request sent there: "
+            f"p50 {quantile(drain, 0.5):.2f} s, p99 {quantile(drain, 0.99):.2f} s, max {drain[-1]:.2f} s"
+        )
+    for finding in judgement.findings[:20]:
+        out_console.print(
+            f"{finding.rule}: at {finding.at:.3f}, {finding.who}: {finding.value:.3g} beside "
+            f"{finding.limit:.3g}, records {list(finding.records)}"
+        )
+    for gap in verdict.gaps[:10]:
+        out_console.print(f"can't tell: {gap}")
+    return verdict.code
--- /dev/null
+++ b/puffintide/cli/processes.py
@@ -0,0 +1,178 @@
+"""Starts a service on the reactor: listens, says "ready" on standard output, runs until told to stop."""
+
+from __future__ import annotations
+
+import json
+import signal
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from twisted.internet.error import CannotListenError
+from twisted.internet.protocol import connectionDone
+from twisted.internet.stdio import StandardIO
+from twisted.protocols.basic import LineOnlyReceiver
+from twisted.python.failure import Failure
+
+from puffintide.config.loader import Config, load
+from puffintide.logs import setup
+from puffintide.wire.clock import monotonic_reactor
+
+
+def _listen(reactor: Any, address: str, factory: Any) -> None:
+    host, _, port = address.rpartition(":")
+    try:
+        reactor.listenTCP(int(port), factory, 2000, host)
+    except CannotListenError as error:
+        print(f"puffintide: can't listen on {address}: {error.socketError}", file=sys.stderr)
+        sys.exit(2)
+
+
+def _run(reactor: Any) -> None:
+    """SIGTERM and Ctrl-C end it."""
+    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(reactor.stop))
+    print("ready", flush=True)
+    reactor.run()
+
+
+def run_assigner(config: Config, life: int) -> None:
+    from puffintide.assigner.service import AssignerService
+
+    assert config.assigner is not None
+    reactor = monotonic_reactor()
+    log = setup(f"assigner-{config.assigner.id}", config.assigner.log, config.assigner.level)
+    service = AssignerService(reactor, config, log, life or int(time.time()))
+    _listen(reactor, config.assigner.listen, service.factory())
+    log.info("started", life=service.life, listen=config.assigner.listen)
+    service.start()
+    _run(reactor)
+    log.info("stopped")
+
+
+def run_store(config: Config) -> None:
+    from puffintide.store.book import Book
+    from puffintide.store.service import StoreService
+    from puffintide.store.tables import TableError, read_tables
+
+    assert config.store is not None
+    reactor = monotonic_reactor()
+    log = setup("store", config.store.log, config.store.level)
+    d = config.deployment
+    book = Book(d.slices, d.assigners, config.charge.takeover_s, d.single_writer, opened=reactor.seconds())
+    if config.store.start_tables:
+        try:
+            book.load(read_tables(config.store.start_tables, d.slices))
+        except TableError as error:
+            print(f"puffintide: {error}", file=sys.stderr)
+            sys.exit(2)
+    service = StoreService(reactor, book, d.name, log)
+    _listen(reactor, config.store.listen, service.factory())
+    service.start()
+    _run(reactor)
+
+
+class _Hand(LineOnlyReceiver):
+    """Orders of the day on standard input; its end ends the process."""
+
+    delimiter = b"\n"
+
+    def __init__(self, reactor: Any, order: Callable[[str, dict[str, Any]], object]) -> None:
+        self.reactor, self.order = reactor, order
+
+    def lineReceived(self, line: bytes) -> None:
+        row = json.loads(line)
+        self.order(row["what"], row["args"])
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        if self.reactor.running:
+            self.reactor.stop()
+
+
+def _obey(reactor: Any, hand: _Hand) -> None:
+    StandardIO(hand, reactor=reactor)  # type: ignore[no-untyped-call]
+
+
+def _day(out: Path) -> tuple[Config, Any]:
+    from puffintide.days.place import Place
+
+    return load(str(out / "day.ini"), ("day", "fleet", "load")), Place.read(out / "place.json")
+
+
+def run_fleet(out: Path) -> None:
+    from puffintide.standins.fleet import FleetService
+
+    reactor = monotonic_reactor()
+    config, place = _day(out)
+    addresses = [place.tapped(f"try:{k}") for k in range(len(place.servers))]
+    with (out / "fleet.jsonl").open("w", encoding="utf-8") as record:
+        service = FleetService(reactor, config, place.servers, addresses, record)
+        service.begin(place.news)
+        _obey(reactor, _Hand(reactor, service.control))
+        _run(reactor)
+
+
+def run_tap(out: Path) -> None:
+    from puffintide.days.tap import Bend, Tap
+
+    reactor = monotonic_reactor()
+    config, place = _day(out)
+    assert config.day is not None
+    with (out / "tap.jsonl").open("wb", buffering=1 << 16) as sink:
+        tap = Tap(reactor, place.links, config.net.model_dump(), config.day.seed, sink)
+        tap.listen()
+
+        def order(what: str, args: dict[str, Any]) -> None:
+            name = str(args.pop("name"))
+            if what == "straighten":
+                tap.bend(name, None)
+                return
+            args["kinds"] = tuple(args["kinds"])
+            args["words"] = tuple(w.encode() for w in args.get("words", []))
+            args["proxies"] = frozenset(args.get("proxies", []))
+            tap.bend(name, Bend(**args))
+
+        _obey(reactor, _Hand(reactor, order))
+        _run(reactor)
+        tap.close()
+
+
+def run_proxies(out: Path, first: int, last: int) -> None:
+    from puffintide.standins.dispatcher import Dispatcher
+
+    reactor = monotonic_reactor()
+    config, place = _day(out)
+    log = setup(f"proxies-{first}")
+    zones = len(config.deployment.zones)
+    assigners = [place.tapped(f"order:{k}") for k in range(len(place.assigners))]
+    for number in range(first, last):
+        dispatcher = Dispatcher(
+            reactor, config, number, number % zones, assigners, place.tapped("store"), log
+        )
+        _listen(reactor, f"127.0.0.1:{place.fronts[number]}", dispatcher.front())
+        dispatcher.start()
+    _obey(reactor, _Hand(reactor, lambda what, args: None))
+    _run(reactor)
+
+
+def run_clients(out: Path) -> None:
+    from puffintide.standins.clients import Clients
+
+    reactor = monotonic_reactor()
+    config, place = _day(out)
+    with (out / "clients.jsonl").open("w", encoding="utf-8") as record:
+        clients = Clients(reactor, config, [f"127.0.0.1:{port}" for port in place.fronts], record)
+
+        def over() -> None:
+            if clients.done():
+                reactor.callLater(0.5, reactor.stop)
+            else:
+                reactor.callLater(0.2, over)
+
+        def order(what: str, args: dict[str, Any]) -> None:
+            clients.start()
+            over()
+
+        _obey(reactor, _Hand(reactor, order))
+        _run(reactor)
--- /dev/null
+++ b/puffintide/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: INI read by configparser, checked by pydantic, all errors told at once."""
--- /dev/null
+++ b/puffintide/store/service.py
@@ -0,0 +1,100 @@
+"""The store on sockets: assigners write, proxies read and are told of changes of charge."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from puffintide.store.book import Book, Change
+from puffintide.wire.messages import (
+    VERSION,
+    AnyMessage,
+    Hello,
+    Message,
+    Read,
+    ReadEnd,
+    Refused,
+    Taken,
+    Welcome,
+    Write,
+)
+from puffintide.wire.session import Greeting
+from puffintide.wire.stream import Acceptor, Stream
+
+DUE_S = 0.1  # how often charge is looked over
+
+
+class StoreService:
+    def __init__(self, reactor: Any, book: Book, deployment: str, log: Any) -> None:
+        self.reactor, self.book, self.deployment, self.log = reactor, book, deployment, log
+        self.assigners: dict[int, Stream] = {}
+        self.proxies: set[Stream] = set()
+
+    def factory(self) -> Acceptor:
+        def me() -> Welcome:
+            return Welcome(VERSION, "store", 0)
+
+        return Acceptor(self.reactor, me, self._message, self._lost, self._judge)
+
+    def start(self) -> None:
+        self._apply(self.book.due(self.reactor.seconds()))
+        self.reactor.callLater(DUE_S, self.start)
+
+    def _judge(self, hello: Greeting) -> str | None:
+        if hello.role not in ("assigner", "proxy"):
+            return f"role {hello.role!r} is not served by the store"
+        if isinstance(hello, Hello) and hello.deployment != self.deployment:
+            return f"deployment {hello.deployment!r} is not {self.deployment!r}, which this store holds"
+        if hello.role == "assigner" and not 0 <= hello.id < self.book.assigners:
+            return f"assigner {hello.id} is not among the {self.book.assigners} of this deployment"
+        return None
+
+    def _message(self, stream: Stream, message: AnyMessage) -> None:
+        match message:
+            case Hello(role="assigner"):
+                self._joined(stream, message)
+            case Hello():
+                stream.tag = ("proxy", message.id)
+                self.proxies.add(stream)
+            case Read():
+                for number in sorted(self.book.slices):
+                    stream.send(self.book.charge(number))
+                stream.send(ReadEnd(len(self.book.slices)))
+            case Write() if stream.tag and stream.tag[0] == "assigner":
+                refused = self.book.write(stream.tag[1], message.lines, message.clear)
+                for number, reason in sorted(refused.items()):
+                    stream.send(Refused(message.batch, number, reason))
+                    self.log.warning("write_refused", assigner=stream.tag[1], slice=number, reason=reason)
+            case _:
+                stream.refuse(f"a {type(message).__name__} is not for the store")
+
+    def _joined(self, stream: Stream, hello: Hello) -> None:
+        old = self.assigners.get(hello.id)
+        if old is not None:
+            old.abort("its assigner dialled anew")
+        stream.tag = ("assigner", hello.id)
+        self.assigners[hello.id] = stream
+        now = self.reactor.seconds()
+        self.log.info("assigner_joined", assigner=hello.id, life=hello.start)
+        self._apply(self.book.joined(now, hello.id))
+
+    def _lost(self, stream: Stream, why: AnyMessage) -> None:
+        self.proxies.discard(stream)
+        if stream.tag and stream.tag[0] == "assigner" and self.assigners.get(stream.tag[1]) is stream:
+            del self.assigners[stream.tag[1]]
+            self.book.left(self.reactor.seconds(), stream.tag[1])
+            self.log.warning("assigner_left", assigner=stream.tag[1], reason=stream.reason)
+
+    def _apply(self, changes: list[Change]) -> None:
+        for change in changes:
+            charge = self.book.charge(change.slice)
+            if change.old != change.new:
+                self._send(change.old, Taken(change.slice, charge.token))
+                self.log.info("charge", slice=change.slice, old=change.old, new=change.new)
+            self._send(change.new, charge)
+            for proxy in sorted(self.proxies, key=lambda s: str(s.tag)):
+                proxy.send(charge)
+
+    def _send(self, assigner: int, message: Message) -> None:
+        stream = self.assigners.get(assigner)
+        if stream is not None:
+            stream.send(message)
