--- a/puffintide/assigner/runtime.py
+++ b/puffintide/assigner/runtime.py
@@ -16,6 +16,8 @@
 from puffintide.policy import Director
 from puffintide.wire.messages import Charge, Entry, Level, Line, News, Order
 
+EARLY_MOST = 1_000_000  # events kept before the first list
+
 
 class Decider(Protocol):
     """What the runtime needs of the module."""
@@ -67,6 +69,9 @@
         self._started: dict[tuple[int, int], float] = {}
         self._events: list[api.Event] = []
         self._heard_at = 0.0
+        self.listed = (
+            False  # until then nothing is told: a module without a list would take all servers for gone
+        )
         self._timers: list[tuple[float, int, int]] = []
         self._timer_count = 0
 
@@ -83,6 +88,10 @@
         for e in news.servers:
             self.addresses[e.id] = e.address or self.addresses.get(e.id, "")
             servers.append(api.Server(e.id, e.zone, e.kind, e.cell, e.state, e.weight, self._start(now, e)))
+        if not self.listed and news.kind != "failed":
+            self.listed = True
+            self._events.insert(0, api.ServerList(news.kind, news.version, tuple(servers)))
+            return
         self.hear(now, api.ServerList(news.kind, news.version, tuple(servers)))
 
     def _start(self, now: float, entry: Entry) -> float:
@@ -120,14 +129,19 @@
         return self._timers[0][0] if self._timers else None
 
     def busy(self) -> bool:
-        return bool(self._events)
+        return self.listed and bool(self._events)
 
-    def tick(self, now: float, first: bool = False) -> Effects | None:
+    def tick(self, now: float) -> Effects | None:
         """Hands the waiting events and due timers to the module; None when there was nothing."""
         while self._timers and self._timers[0][0] <= now:
             _, _, name = heapq.heappop(self._timers)
             self.hear(now, api.TimerDue(name))
-        if not self._events and not first:
+        if not self.listed:
+            kept = (api.SliceCharge, api.StoredLine, api.ProxyJoined, api.ProxyLeft)
+            early: list[api.Event] = [e for e in self._events if isinstance(e, kept)]
+            self._events = early[-EARLY_MOST:]
+            return None
+        if not self._events:
             return None
         events, self._events = tuple(self._events), []
         actions = tuple(self.decider.handle(now, events))
--- a/puffintide/assigner/service.py
+++ b/puffintide/assigner/service.py
@@ -4,9 +4,13 @@
 
 import os
 import random
+import time
 from typing import Any
 
+import msgspec
+
 from puffintide import interface as api
+from puffintide.assigner.cache import CacheError, load_list, save_list
 from puffintide.assigner.channel import Channel
 from puffintide.assigner.reports import Gatherer
 from puffintide.assigner.runtime import Effects, Runtime
@@ -34,6 +38,8 @@
         self.store: Stream | None = None
         self.list: Stream | None = None
         self.list_version = -1
+        self.list_entries: dict[int, tuple[m.Entry, float]] = {}  # and when each was heard
+        self.list_saving: Any = None
         self.probers: dict[int, Prober] = {}
         self.peers: dict[int, Dialler] = {}
         self.tick_at: Any = None
@@ -67,8 +73,7 @@
         return None
 
     def start(self) -> None:
-        now = self.now()
-        self.runtime.hear(now, api.ServerList("cached", 0, ()))
+        self._load_list()
         Dialler(
             self.reactor, self.me.store, self.hello, self._from_store, self._store_lost, self.draw
         ).start()
@@ -137,8 +142,10 @@
             case m.Welcome():
                 self.store = stream
                 self.log.info("store_reached")
-            case m.Charge():
-                self.runtime.charge(now, message)
+            case m.Charges():
+                for charge in message.charges:
+                    if charge.assigner == self.me.id:
+                        self.runtime.charge(now, charge)
             case m.Taken():
                 self.runtime.taken(now, message.slice)
                 self.reports.forget_slice(message.slice)
@@ -159,14 +166,52 @@
                 self.log.info("list_reached")
                 if not self.settings.list_is_asked:
                     stream.send(m.Watch(True, self.list_version))
+                elif not self.runtime.listed:  # a first list, as the module is promised one at its start
+                    stream.send(m.Fetch())
             case m.News():
+                self.runtime.news(self.now(), message)
                 if message.kind != "failed":
                     self.list_version = message.version
-                self.runtime.news(self.now(), message)
+                    self._save_list(message)
                 states = {e.id: e.state for e in message.servers}
                 self.log.info("list", kind=message.kind, version=message.version, states=states)
                 self._schedule()
 
+    # The list as last heard is kept in a file, for a start while the source is down.
+
+    def _save_list(self, news: m.News) -> None:
+        if news.kind != "delta":
+            self.list_entries = {}
+        now = self.now()
+        self.list_entries.update({e.id: (e, now) for e in news.servers})
+        if self.me.list_cache and self.list_saving is None:
+            self.list_saving = self.reactor.callLater(0.2, self._write_list)
+
+    def _write_list(self) -> None:
+        self.list_saving = None
+        now = self.now()
+        rows = [
+            msgspec.structs.replace(e, age_s=e.age_s + (now - at) if e.age_s >= 0 else e.age_s)
+            for _, (e, at) in sorted(self.list_entries.items())
+        ]
+        try:
+            save_list(self.me.list_cache, time.time(), m.News("cached", self.list_version, rows))
+        except OSError as error:
+            self.log.warning("list_cache_failed", reason=str(error))
+
+    def _load_list(self) -> None:
+        if not self.me.list_cache:
+            return
+        try:
+            news = load_list(self.me.list_cache, time.time())
+        except CacheError as error:
+            self.log.warning("list_cache_unread", reason=str(error))
+            return
+        self.list_version = news.version
+        self._save_list(news)
+        self.runtime.news(self.now(), news)
+        self.log.info("list", kind="cached", version=news.version, servers=len(news.servers))
+
     def _list_lost(self, why: str) -> None:
         if self.list is not None:
             self.log.warning("list_lost", reason=why)
--- a/puffintide/audit/rules.py
+++ b/puffintide/audit/rules.py
@@ -191,8 +191,9 @@
                 self.streams[peer.id, self._number_of(r.link)].append((r.went, until))
             elif kind == "list" and isinstance(message, m.News) and r.went is not None:
                 self._news(peer.id, self._heard(peer.id, r.went), message, listed, began)
-            elif kind == "store" and isinstance(message, m.Charge) and peer.role == "assigner":
-                self._given(peer.id, r, message, open_charge)
+            elif kind == "store" and isinstance(message, m.Charges) and peer.role == "assigner":
+                for charge in message.charges:
+                    self._given(peer.id, r, charge, open_charge)
             elif kind == "store" and isinstance(message, m.Taken) and r.went is not None:
                 since = open_charge.pop((peer.id, message.slice), None)
                 if since is not None:
@@ -285,9 +286,10 @@
                 d = self.config.deployment
                 replicas[peer.id] = Tables(d.slices, d.retry_default, d.pick, lambda: 0.5)
             tables = replicas[peer.id]
-            if isinstance(r.message, m.Charge):
-                tables.charge(r.message)
-                look(peer.id, r.message.slice, r.went, r.number)
+            if isinstance(r.message, m.Charges):
+                for charge in r.message.charges:
+                    tables.charge(charge)
+                    look(peer.id, charge.slice, r.went, r.number)
             elif isinstance(r.message, m.ReadEnd):
                 read.add(r.conn)
             elif isinstance(r.message, m.Order):
@@ -496,9 +498,10 @@
                 for line in r.message.lines:
                     if line.weight > 0:
                         epochs[line.table].append((r.came, line.server))
-            elif isinstance(r.message, m.Charge) and peer is not None and r.message.lines:
-                first = r.message.lines[0].server
-                epochs[r.message.slice] = epochs[r.message.slice] or [(r.came, first)]
+            elif isinstance(r.message, m.Charges) and peer is not None:
+                for charge in r.message.charges:
+                    if charge.lines and not epochs[charge.slice]:
+                        epochs[charge.slice].append((r.came, charge.lines[0].server))
         events: list[tuple[float, int, Record, int]] = []
         for r in self.records:
             if isinstance(r.message, m.Try) and r.went is not None:
--- a/puffintide/config/schema.py
+++ b/puffintide/config/schema.py
@@ -149,6 +149,7 @@
     store: Address
     list: Address
     peers: Addresses = []  # of all assigners, in order of id
+    list_cache: str = ""  # a file for the list as last heard; empty: none
     seed: int = 1
     tick_s: Positive = 0.02
 
--- a/puffintide/days/runner.py
+++ b/puffintide/days/runner.py
@@ -102,6 +102,7 @@
                 "store": place.tapped("store"),
                 "list": place.tapped("list"),
                 "peers": peers,
+                "list_cache": str(self.out / f"list-{number}.json"),
                 "seed": str(self.seed),
             }
             self._config(base, keep, {"assigner": section}, self.out / f"assigner-{number}.ini")
--- a/puffintide/standins/dispatcher.py
+++ b/puffintide/standins/dispatcher.py
@@ -126,8 +126,9 @@
         match message:
             case m.Welcome():
                 stream.send(m.Read())
-            case m.Charge():
-                self.tables.charge(message)
+            case m.Charges():
+                for charge in message.charges:
+                    self.tables.charge(charge)
                 self._retry_held()
             case m.ReadEnd():
                 pass
--- a/puffintide/store/service.py
+++ b/puffintide/store/service.py
@@ -5,9 +5,13 @@
 from typing import Any
 
 from puffintide.store.book import Book, Change
+from puffintide.wire.codec import encode
 from puffintide.wire.messages import (
+    CHARGES_MOST,
     VERSION,
     AnyMessage,
+    Charge,
+    Charges,
     Hello,
     Message,
     Read,
@@ -56,8 +60,8 @@
                 stream.tag = ("proxy", message.id)
                 self.proxies.add(stream)
             case Read():
-                for number in sorted(self.book.slices):
-                    stream.send(self.book.charge(number))
+                for line in self._lines([self.book.charge(n) for n in sorted(self.book.slices)]):
+                    stream.send_line(line)
                 stream.send(ReadEnd(len(self.book.slices)))
             case Write() if stream.tag and stream.tag[0] == "assigner":
                 refused = self.book.write(stream.tag[1], message.lines, message.clear)
@@ -85,14 +89,27 @@
             self.log.warning("assigner_left", assigner=stream.tag[1], reason=stream.reason)
 
     def _apply(self, changes: list[Change]) -> None:
+        """What one event changed goes out as one message to each party, encoded once for all proxies."""
+        given: dict[int, list[Charge]] = {}
         for change in changes:
             charge = self.book.charge(change.slice)
             if change.old != change.new:
                 self._send(change.old, Taken(change.slice, charge.token))
-                self.log.info("charge", slice=change.slice, old=change.old, new=change.new)
-            self._send(change.new, charge)
-            for proxy in sorted(self.proxies, key=lambda s: str(s.tag)):
-                proxy.send(charge)
+            given.setdefault(change.new, []).append(charge)
+        for assigner, charges in sorted(given.items()):
+            self.log.info("charge", assigner=assigner, slices=[c.slice for c in charges])
+            for line in self._lines(charges):
+                if assigner in self.assigners:
+                    self.assigners[assigner].send_line(line)
+                for proxy in sorted(self.proxies, key=lambda s: str(s.tag)):
+                    proxy.send_line(line)
+
+    @staticmethod
+    def _lines(charges: list[Charge]) -> list[bytes]:
+        return [
+            encode(Charges(charges[first : first + CHARGES_MOST]))
+            for first in range(0, len(charges), CHARGES_MOST)
+        ]
 
     def _send(self, assigner: int, message: Message) -> None:
         stream = self.assigners.get(assigner)
--- a/puffintide/wire/messages.py
+++ b/puffintide/wire/messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 VERSION = 1
+CHARGES_MOST = 1000  # in one message
 
 # Outcomes of a try, and of a probe, as the interface numbers them.
 OK, ERROR, FULL, TIMEOUT, UNREACHABLE, RESET = 0, 1, 2, 3, 4, 5
@@ -142,6 +143,12 @@
     lines: list[Held] = []
 
 
+class Charges(Message, tag="charges", frozen=True):
+    """Several at once: a reading of the store, or all that one event changed. At most CHARGES_MOST of them."""
+
+    charges: list[Charge]
+
+
 class Taken(Message, tag="taken", frozen=True):
     """The slice is no longer in this assigner's charge."""
 
@@ -166,7 +173,7 @@
 
 
 class Read(Message, tag="read", frozen=True):
-    """Asks the store for all tables and charges; answered by a Charge for each slice, then ReadEnd."""
+    """Asks the store for all tables and charges; answered by Charges of all slices, then ReadEnd."""
 
 
 class ReadEnd(Message, tag="read_end", frozen=True):
@@ -292,6 +299,7 @@
     | Applied
     | Sums
     | Charge
+    | Charges
     | Taken
     | Write
     | Refused
--- a/puffintide/wire/stream.py
+++ b/puffintide/wire/stream.py
@@ -60,8 +60,12 @@
         self.refuse(f"line over the limit of {LINE_MOST} bytes")
 
     def send(self, message: Message) -> None:
+        self.send_line(encode(message))
+
+    def send_line(self, line: bytes) -> None:
+        """A message that is already encoded, for those sent to many."""
         if not self.ended:
-            self.transport.write(encode(message) + b"\n")
+            self.transport.write(line + b"\n")
 
     def _send_all(self, messages: list[Message]) -> None:
         for message in messages:
--- /dev/null
+++ b/tests/test_runtime.py
@@ -0,0 +1,363 @@
+"""The runtime: every kind of event and action is carried, and the module decides as through the drill."""
+
+import json
+import struct
+from collections.abc import Sequence
+from dataclasses import replace
+
+import pytest
+
+from puffintide import interface as api
+from puffintide.assigner.channel import Channel
+from puffintide.assigner.reports import Gatherer
+from puffintide.assigner.runtime import Runtime
+from puffintide.drill.__main__ import Host
+from puffintide.drill.codec import encode_action, frame
+from puffintide.drill.settings import parse_settings
+from puffintide.policy import Director
+from puffintide.wire import messages as m
+from tests.test_drill import CONF, hello
+from tests.world import World, settings
+
+
+class Scripted:
+    """Stands for the module: notes what it hears, answers as told."""
+
+    def __init__(self, *actions: api.Action) -> None:
+        self.actions = list(actions)
+        self.heard: list[api.Event] = []
+
+    def handle(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
+        self.heard += events
+        return self.actions
+
+
+def runtime(decider: Scripted, slices: int = 4) -> Runtime:
+    made = Runtime(settings(slices=slices), lambda _: decider)
+    for proxy in (0, 1):
+        made.joined(0.0, proxy, proxy, 5.0, True)
+    made.news(0.0, m.News("cached", 1, []))
+    return made
+
+
+def test_each_event_reaches_the_module() -> None:
+    module = Scripted()
+    r = runtime(module)
+    entry = m.Entry(5, 1, 2, 3, api.READY, 2.0, 1, 4.0, "127.0.0.1:9")
+    r.news(10.0, m.News("full", 3, [entry]))
+    r.charge(10.0, m.Charge(2, 7, 0, [m.Held(5, 0.5, "127.0.0.1:9")]))
+    r.left(10.0, 1)
+    rest = (
+        api.Applied(0, 3, 0.1),
+        api.ProbeResult(5, 0, 0.1, ()),
+        api.PeerMessage(1, b"x"),
+        api.LoadReport(0, 5, 2, 1, 0.1, 0.5, (1.0,)),
+        api.SliceHeat(2, 0, 4, 0, 0.5),
+        api.ProxyUsage(0, 0, 1, 0, 0.5),
+    )
+    r.hear(10.0, *rest)
+    r.taken(10.0, 2)
+    r.taken(10.0, 3)  # never had: nothing to tell
+    r.tick(10.0)
+    assert module.heard == [
+        api.ServerList("cached", 1, ()),
+        api.ProxyJoined(0, 0, 5.0, True),
+        api.ProxyJoined(1, 1, 5.0, True),
+        api.ServerList("full", 3, (api.Server(5, 1, 2, 3, api.READY, 2.0, 6.0),)),
+        api.SliceCharge(2, True),
+        api.StoredLine(2, 5, 0.5),
+        api.ProxyLeft(1),
+        *rest,
+        api.SliceCharge(2, False),
+    ]
+
+
+def test_the_time_of_a_start_stays_for_a_life_and_changes_with_the_next() -> None:
+    module = Scripted()
+    r = runtime(module)
+    entry = m.Entry(5, 0, 0, 0, api.READY, 1.0, 1, 2.0)
+    r.news(10.0, m.News("delta", 1, [entry]))
+    r.news(11.0, m.News("delta", 2, [m.Entry(5, 0, 0, 0, api.DRAINING, 1.0, 1, 3.2)]))
+    r.news(20.0, m.News("delta", 3, [m.Entry(5, 0, 0, 0, api.READY, 1.0, 2, 1.0)]))
+    r.tick(20.0)
+    lists = [e for e in module.heard if isinstance(e, api.ServerList)]
+    assert [e.servers[0].started for e in lists[1:]] == [8.0, 8.0, 19.0]
+
+
+ORDERS = [
+    (api.SetLine(2, 5, 0.5), lambda o: o.lines == [m.Line(2, 5, 0.5, 7, "127.0.0.1:9")]),
+    (api.ClearTable(2), lambda o: o.clear == [2]),
+    (api.Withdraw(5, True), lambda o: o.out == [5] and not o.back),
+    (api.Withdraw(5, False), lambda o: o.back == [5] and not o.out),
+    (api.Admit(2, 1, 0.5, 1), lambda o: o.levels == [m.Level(2, 1, 0.5, 1)]),
+]
+
+
+@pytest.mark.parametrize("action, shown", ORDERS)
+def test_each_order_becomes_one_message_a_proxy(action: api.Action, shown) -> None:  # type: ignore[no-untyped-def]
+    r = runtime(Scripted(action, api.Mark(9, False)))
+    r.charge(1.0, m.Charge(2, 7, 0, [m.Held(5, 1.0, "127.0.0.1:9")]))
+    effects = r.tick(1.0)
+    assert effects is not None and [p for p, _ in effects.orders] == [0, 1]
+    for _, order in effects.orders:
+        assert shown(order) and order.mark == 9
+        assert order.cost == 2 + r.settings.channel_head_lines  # its own line, the mark, the head
+    assert bool(effects.writes) == isinstance(action, api.SetLine)
+    assert bool(effects.clears) == isinstance(action, api.ClearTable)
+
+
+def test_the_other_actions_become_effects() -> None:
+    r = runtime(
+        Scripted(
+            api.Probe(5),
+            api.Tell(1, b"a"),
+            api.Tell(0xFFFF, b"b"),
+            api.WatchList(True),
+            api.FetchList(),
+            api.Log("hm"),
+            api.SetTimer(0.5, 3),
+        )
+    )
+    e = r.tick(1.0)
+    assert e is not None and e.orders == []
+    assert (e.probes, e.tells, e.watch, e.fetch, e.logs) == ([5], [(1, b"a"), (-1, b"b")], [True], 1, ["hm"])
+    assert r.next_timer() == 1.5
+
+
+def test_nothing_is_told_before_a_list_so_that_no_table_is_emptied() -> None:
+    r = Runtime(settings(slices=4))
+    r.joined(0.0, 0, 0, 5.0, True)
+    r.charge(0.0, m.Charge(2, 7, 0, [m.Held(5, 1.0)]))
+    r.hear(0.0, api.SliceHeat(2, 0, 4, 0, 0.5))
+    for k in range(40):
+        r.news(k / 4, m.News("failed", -1))
+        assert r.tick(k / 4) is None and not r.busy()
+    entries = [m.Entry(s, 0, 0, 0, api.READY, 1.0, 1, -1.0) for s in (5, 6)]
+    r.news(11.0, m.News("full", 1, entries))
+    for k in range(40):
+        effects = r.tick(11.0 + k / 4)
+        assert effects is None or not any(x.weight == 0 and x.server == 5 for x in effects.writes)
+    assert not r.busy()
+
+
+def test_timers_come_due_once_and_in_order() -> None:
+    module = Scripted(api.SetTimer(0.3, 2), api.SetTimer(0.1, 1))
+    r = runtime(module)
+    r.tick(1.0)
+    module.actions = []
+    r.tick(1.2)
+    r.tick(1.25)
+    r.tick(1.5)
+    assert [e.name for e in module.heard if isinstance(e, api.TimerDue)] == [1, 2]
+
+
+def test_a_mark_for_everyone_reaches_those_without_orders() -> None:
+    r = runtime(Scripted(api.Mark(4, True)))
+    effects = r.tick(1.0)
+    assert effects is not None and [(p, o.mark) for p, o in effects.orders] == [(0, 4), (1, 4)]
+    r = runtime(Scripted(api.Mark(4, False)))
+    effects = r.tick(1.0)
+    assert effects is not None and effects.orders == []
+
+
+def test_lines_of_slices_not_in_charge_are_not_sent() -> None:
+    r = runtime(Scripted(api.SetLine(3, 5, 1.0)))
+    effects = r.tick(1.0)
+    assert effects is not None and effects.orders == [] and effects.writes == []
+
+
+def test_without_slices_a_bound_proxy_gets_its_table_and_then_its_changes() -> None:
+    module = Scripted(api.SetLine(1, 5, 1.0), api.SetLine(2, 6, 1.0))
+    r = runtime(module, slices=0)
+    effects = r.tick(1.0)
+    assert effects is not None and effects.orders == []  # nobody is bound yet
+    module.actions = [api.BindProxy(0, 1, 0)]
+    r.hear(1.1, api.TimerDue(1))
+    effects = r.tick(1.1)
+    assert effects is not None
+    ((proxy, order),) = effects.orders
+    assert proxy == 0 and order.bind == [(1, 0)] and [x.server for x in order.lines] == [5]
+    module.actions = [api.SetLine(1, 7, 1.0), api.SetLine(2, 8, 1.0)]
+    r.hear(1.2, api.TimerDue(1))
+    effects = r.tick(1.2)
+    assert effects is not None
+    assert [(p, [x.server for x in o.lines]) for p, o in effects.orders] == [(0, [7])]
+
+
+def list_body(number: int, version: int, form: int, servers: Sequence[api.Server]) -> bytes:
+    rows = b"".join(
+        struct.pack("<IBHHBfd", s.id, s.zone, s.kind, s.cell, s.state, s.weight, s.started) for s in servers
+    )
+    listed = struct.pack("<BII", 14, number, len(servers)) + rows
+    return listed + struct.pack("<BHIQB", 1, 0, number, version, form)
+
+
+def drill_event(event: api.Event) -> bytes:
+    match event:
+        case api.ServerList():
+            form = {"delta": 0, "cached": 1, "full": 3}[event.kind]
+            return list_body(0, event.version, form, event.servers)
+        case api.TimerDue(name):
+            return struct.pack("<BHI", 2, 0, name)
+        case api.ProxyJoined(proxy, zone, rate, fresh):
+            return struct.pack("<BHHBfB", 6, 0, proxy, zone, rate, fresh)
+        case api.Applied(proxy, number, took):
+            return struct.pack("<BHdHQ", 8, 0, took, proxy, number)
+        case api.LoadReport():
+            e = event
+            head = struct.pack("<BHBIIIdd", 9, 0, e.zone, e.server, e.tries, e.failed, e.mean_s, e.span_s)
+            return head + struct.pack(f"<B{len(e.values)}f", len(e.values), *e.values)
+        case api.SliceHeat(number, kind, count, bad, span):
+            return struct.pack("<BHHHIId", 11, 0, number, kind, count, bad, span)
+        case api.SliceCharge(number, given):
+            return struct.pack("<BHHB", 12, 0, number, given)
+        case api.StoredLine(number, server, weight):
+            return struct.pack("<BHfIH", 13, 0, weight, server, number)
+    raise AssertionError(event)
+
+
+class Through:
+    """In a World's place of its module: plays each batch through the runtime and through the drill's adapter, and
+    holds the two answers against each other, byte by byte."""
+
+    def __init__(self, conf: dict[str, object]) -> None:
+        self.host = Host()
+        self.host.answer(0.0, hello(conf))
+        self.runtime = Runtime(parse_settings(json.dumps(conf).encode(), 5), Director)
+        self.batches = 0
+        self.ordered = 0
+
+    def handle(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
+        due = {e.name for e in events if isinstance(e, api.TimerDue)}
+        body = b"".join(drill_event(e) for e in events)
+        reply = self.host.answer(now, body)
+        lives: dict[int, list[m.Held]] = {}
+        for e in events:
+            if isinstance(e, api.StoredLine):
+                lives.setdefault(e.slice, []).append(m.Held(e.server, e.weight))
+        for e in events:
+            match e:
+                case api.ServerList():
+                    rows = [
+                        m.Entry(
+                            s.id,
+                            s.zone,
+                            s.kind,
+                            s.cell,
+                            s.state,
+                            s.weight,
+                            int(s.started * 8),
+                            now - s.started if s.started else -1.0,
+                        )
+                        for s in e.servers
+                    ]
+                    self.runtime.news(now, m.News(e.kind, e.version, rows))
+                case api.SliceCharge(number, True):
+                    self.runtime.charge(now, m.Charge(number, 1, 0, lives.get(number, [])))
+                case api.ProxyJoined(proxy, zone, rate, fresh):
+                    self.runtime.joined(now, proxy, zone, rate, fresh)
+                case api.StoredLine() | api.TimerDue():
+                    pass  # came with its charge; the runtime's own timers wake the module
+                case _:
+                    self.runtime.hear(now, e)
+        if due and self.runtime.next_timer() is None:
+            self.runtime.hear(now, *(api.TimerDue(name) for name in sorted(due)))
+        effects = self.runtime.tick(now)
+        assert effects is not None
+        mine = frame([encode_action(0, action) for action in effects.actions])
+        assert mine == reply, f"batch {self.batches} at {now}"
+        self.batches += 1
+        self.ordered += any(isinstance(a, api.SetLine) for a in effects.actions)
+        return list(effects.actions)
+
+
+def test_the_runtime_gives_the_same_actions_as_the_drill_action_for_action() -> None:
+    conf = dict(CONF, report={"names": ["busy"]})
+    family = dict(CONF["familyInfo"], slices=12, strikes=3, warmKeys=True)  # type: ignore[call-overload]
+    conf["familyInfo"] = family
+    world = World(slices=12)
+    through = Through(conf)
+    world.director = through  # type: ignore[assignment]
+    world.settings = replace(world.settings, slices=12)
+    servers = tuple(api.Server(s, 0, 0, 0, 1, 1.0, 0.0) for s in (1, 2, 3, 4))
+    events: list[api.Event] = [api.ServerList("cached", 1, servers)]
+    events += [api.ProxyJoined(p, 0, 10.0, True) for p in range(3)]
+    for number in range(12):
+        events += [api.SliceCharge(number, True), api.StoredLine(number, 1 + number % 4, 1.0)]
+    world.tell(*events, api.TimerDue(1))
+    world.run(6)
+    world.mute = {2}
+    world.heat[3] = 40.0
+    world.run(8)
+    gone = api.Server(3, 0, 0, 0, api.GONE, 1.0, 0.0)
+    world.tell(api.ServerList("delta", 2, (gone,)))
+    world.mute = set()
+    world.run(5)
+    world.tell(api.ServerList("delta", 3, (api.Server(3, 0, 0, 0, 1, 1.0, world.now - 0.5),)))
+    world.run(12)
+    assert through.batches > 100 and through.ordered > 10
+
+
+def order(at: float, cost: float = 10.0) -> m.Order:
+    return m.Order(1, at, cost)
+
+
+def test_messages_leave_in_order_at_the_stated_pace() -> None:
+    channel = Channel(lines_per_s=100.0, limit=1000.0)
+    for proxy in range(3):
+        channel.join(proxy)
+        channel.put(proxy, order(0.0))
+    assert channel.waiting() == 30
+    assert channel.take(0.05) == ([], [])
+    assert [p for p, _ in channel.take(0.1)[0]] == [0]
+    assert [p for p, _ in channel.take(0.31)[0]] == [1, 2]
+    assert channel.waiting() == 0 and channel.next_due() is None
+    channel.put(0, order(5.0))
+    assert channel.next_due() == pytest.approx(5.1)  # an idle channel saves nothing up
+
+
+def test_a_proxy_that_does_not_read_delays_nobody_and_is_given_up_in_the_end() -> None:
+    channel = Channel(lines_per_s=1e9, limit=35.0)
+    for proxy in (0, 1):
+        channel.join(proxy)
+    channel.set_writable(0, False)
+    for k in range(3):
+        channel.put(0, order(k))
+        channel.put(1, order(k))
+        sent, given_up = channel.take(k + 0.5)
+        assert [p for p, _ in sent] == [1] and given_up == []
+    assert channel.waiting() == 30
+    channel.put(0, order(4))
+    assert channel.take(4.5)[1] == [0]
+    assert len(channel.set_writable(0, True)) == 4 and channel.waiting() == 0
+
+
+def test_what_waits_is_lost_with_the_stream() -> None:
+    channel = Channel(100.0, 1000.0)
+    channel.join(0)
+    channel.join(1)
+    channel.put(0, order(0.0))
+    channel.put(1, order(0.0))
+    channel.leave(0)
+    assert channel.waiting() == 10
+    channel.join(0)
+    assert [p for p, _ in channel.take(9.0)[0]] == [1]
+
+
+def test_sums_add_up_whatever_the_report_lines_allow() -> None:
+    gather = Gatherer(lines_per_s=4.0, by_proxy=False)
+    heard: list[api.LoadReport] = []
+    for step in range(40):
+        now = 10 + step * 0.5
+        for proxy in range(3):
+            rows = [m.ServerSum(s, 2, 1, 0.5, [float(s)]) for s in range(5)]
+            gather.add(now, proxy, proxy % 2, m.Sums(0.5, rows if step < 20 else [], []))
+        events = gather.take(now)
+        assert len(events) <= 4
+        heard += [e for e in events if isinstance(e, api.LoadReport)]
+    assert sum(e.tries for e in heard) == 20 * 3 * 5 * 2
+    assert sum(e.failed for e in heard) == 20 * 3 * 5
+    assert {(e.zone, e.server) for e in heard[:10]} == {
+        (z, s) for z in (0, 1) for s in range(5)
+    }  # all take turns
+    assert all(e.mean_s == pytest.approx(0.5) for e in heard)
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,155 @@
+"""The wire: every message there and back, and what a peer may not do."""
+
+import contextlib
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from puffintide.wire import messages as m
+from puffintide.wire.codec import LINE_MOST, WireError, decode, encode
+from puffintide.wire.session import Session
+
+SAMPLES = [
+    m.Hello(1, "proxy", 3, 1, "d", 2, True),
+    m.Welcome(1, "assigner", 0, 4),
+    m.Refuse("no"),
+    m.Ping(),
+    m.Pong(),
+    m.Order(
+        7,
+        1.5,
+        14.0,
+        [m.Line(1, 2, 0.5, 9, "127.0.0.1:1")],
+        [3],
+        [4],
+        [5],
+        [m.Level(1, 0, 0.5, 1)],
+        [(1, 2)],
+        8,
+    ),
+    m.Applied(8),
+    m.Sums(0.5, [m.ServerSum(1, 5, 1, 0.25, [2.0])], [m.SliceSum(3, 0, 9, 1)]),
+    m.Charge(1, 2, 0, [m.Held(4, 1.0, "127.0.0.1:2")]),
+    m.Charges([m.Charge(1, 2, 0, [m.Held(4, 1.0)]), m.Charge(2, 3, -1)]),
+    m.Taken(1, 3),
+    m.Write(9, [m.Line(1, 2, 1.0, 3)], [4]),
+    m.Refused(9, 1, "old token"),
+    m.Read(),
+    m.ReadEnd(12),
+    m.Watch(True, 4),
+    m.Fetch(),
+    m.News("delta", 5, [m.Entry(1, 0, 0, 0, 1, 2.0, 3, -1.0, "127.0.0.1:3")]),
+    m.Ask(1, 0, 77, 2.5, 0.1),
+    m.Reply(1, 2, 0.5, False),
+    m.Try(1, 2, 3, 4, 0, 77, 1, 2.0, 0.1),
+    m.Answer(1, 0, [3.0]),
+    m.Cancel(1),
+    m.Probe(1),
+    m.Probed(1, 0, [2.0]),
+    m.Tell(1, b"\x00\xff"),
+    m.Control("hang", {"servers": [1], "value": 2.0}),
+    m.Done("x"),
+]
+
+
+def test_every_message_goes_there_and_back() -> None:
+    assert {type(s) for s in SAMPLES} == set(m.AnyMessage.__args__)
+    for sample in SAMPLES:
+        line = encode(sample)
+        assert b"\n" not in line and decode(line) == sample
+
+
+def test_unknown_fields_are_skipped() -> None:
+    assert decode(b'{"t":"applied","mark":3,"colour":"blue"}') == m.Applied(3)
+
+
+@pytest.mark.parametrize(
+    "line, words",
+    [
+        (b"", "not a message"),
+        (b'{"t":"applied","mark":3', "not a message"),
+        (b'{"t":"nonsense"}', "nonsense"),
+        (b'{"t":"applied","mark":"x"}', "mark"),
+        (b'{"t":"order","batch":1}', "at"),
+        (b'{"t":"order","batch":1,"at":0,"cost":1,"lines":[[1,2]]}', "lines"),
+        (b"\xff\xfe", "not a message"),
+        (b"[" * 100000, "object"),
+        (b'"' + b"x" * LINE_MOST + b'"', "limit"),
+    ],
+)
+def test_bad_lines_are_told_with_their_place(line: bytes, words: str) -> None:
+    with pytest.raises(WireError, match=words):
+        decode(line)
+
+
+@given(st.binary(max_size=300))
+def test_no_bytes_make_the_codec_fail_otherwise(data: bytes) -> None:
+    try:
+        message = decode(data)
+    except WireError:
+        return
+    assert decode(encode(message)) == message
+
+
+@given(st.sampled_from(SAMPLES), st.integers(0, 400), st.integers(0, 255))
+def test_a_damaged_message_is_refused_or_still_whole(sample: m.Message, at: int, byte: int) -> None:
+    line = bytearray(encode(sample))
+    line[at % len(line)] = byte
+    with contextlib.suppress(WireError):
+        assert isinstance(decode(bytes(line)), msgspec.Struct)
+
+
+def pair() -> tuple[Session, Session]:
+    return (
+        Session(m.Hello(m.VERSION, "proxy", 1), 0.5, 2.0),
+        Session(m.Welcome(m.VERSION, "assigner", 0), 0.5, 2.0),
+    )
+
+
+def test_a_greeting_is_answered_and_passed_on() -> None:
+    dialler, dialled = pair()
+    (hello,) = dialler.opened(0.0)
+    assert dialled.opened(0.0) == []
+    passed, back = dialled.received(0.1, encode(hello))
+    assert passed == [hello] and back == [dialled.me]
+    passed, back = dialler.received(0.2, encode(back[0]))
+    assert passed == [dialled.me] and back == []
+
+
+@pytest.mark.parametrize(
+    "line, words",
+    [
+        (encode(m.Hello(2, "proxy", 1)), "version 2 is not spoken"),
+        (encode(m.Applied(1)), "first line must be a Hello"),
+        (encode(m.Welcome(1, "store", 0)), "first line must be a Hello"),
+        (encode(m.Refuse("go away")), "go away"),
+    ],
+)
+def test_a_wrong_greeting_is_refused_with_its_reason(line: bytes, words: str) -> None:
+    _, dialled = pair()
+    with pytest.raises(WireError, match=words):
+        dialled.received(0.0, line)
+    assert dialled.peer is None
+
+
+def test_a_second_greeting_is_refused() -> None:
+    _, dialled = pair()
+    hello = encode(m.Hello(m.VERSION, "proxy", 1))
+    dialled.received(0.0, hello)
+    with pytest.raises(WireError, match="twice"):
+        dialled.received(0.1, hello)
+
+
+def test_a_half_open_stream_is_noticed_and_a_living_one_is_not() -> None:
+    dialler, dialled = pair()
+    dialled.opened(0.0)
+    dialled.received(0.0, encode(dialler.me))
+    assert dialled.due(0.4) == []
+    assert dialled.due(0.6) == [m.Ping()]
+    assert dialled.due(0.7) == []  # one ping at a time
+    dialled.received(1.9, encode(m.Pong()))
+    dialled.due(3.8)
+    with pytest.raises(WireError, match="silent"):
+        dialled.due(4.0)
