--- a/benchmarks/assigner_limit.py
+++ b/benchmarks/assigner_limit.py
@@ -4,8 +4,8 @@
 
 One assigner's own code (sums decoded and gathered, module, orders encoded for every proxy), fed as a deployment
 would feed it, without sockets: proxies' sums each period, probes' answers, and a drain every third second. The
-cost is the processor time of each part for a second of the deployment's time; at 1.0 a core is full and rounds are
-late. Only ratios within one run mean anything on a shared machine. Channel x1 is the pace and limit of the users'
+cost is the processor time of each part for a second of the deployment's time; at 1.0 a core is full and rounds
+are late. Only ratios within one run mean anything on a shared machine. Channel x1 is the pace and limit of the users'
 size to come (12500 lines a second, 18800 waiting); wider ones grow with the proxies. A row without rounds that order
 means that nothing fits into the channel any more: its limit gave first.
 """
@@ -32,15 +32,42 @@
 def settings(slices: int, proxies: int, channel: float) -> api.Settings:
     kind = api.RequestClass("repeatable", "all", 0.0, 0.75, 2.5, 3.0, False)
     return api.Settings(
-        instance=0, instances=1, seed=1, zone=0, zones=2, classes=(kind, kind, kind), slices=slices,
-        proxies=proxies, single_writer=False, warm_keys=True, retry_default=0, retry_wait_aims=1.0,
-        shun_after=0, admit="silent", channel_lines_per_s=12500.0 * channel, channel_head_lines=12.0, channel_limit=18800.0 * channel,
-        channel_delay_s=0.4, channel_delay_max_s=1.2, messages_most=20, messages_span_s=10.0,
+        instance=0,
+        instances=1,
+        seed=1,
+        zone=0,
+        zones=2,
+        classes=(kind, kind, kind),
+        slices=slices,
+        proxies=proxies,
+        single_writer=False,
+        warm_keys=True,
+        retry_default=0,
+        retry_wait_aims=1.0,
+        shun_after=0,
+        admit="silent",
+        channel_lines_per_s=12500.0 * channel,
+        channel_head_lines=12.0,
+        channel_limit=18800.0 * channel,
+        channel_delay_s=0.4,
+        channel_delay_max_s=1.2,
+        messages_most=20,
+        messages_span_s=10.0,
         report_period_s=0.5,
-        report_lines_per_s=300.0, report_names=("rif",), probes=True, list_is_asked=False, drain_grace_s=3.5,
-        cold_from=0.22, warm_within_s=18.0, fall_multiple=3.0, fall_s=1.5, bare_s=6.9,
+        report_lines_per_s=300.0,
+        report_names=("rif",),
+        probes=True,
+        list_is_asked=False,
+        drain_grace_s=3.5,
+        cold_from=0.22,
+        warm_within_s=18.0,
+        fall_multiple=3.0,
+        fall_s=1.5,
+        bare_s=6.9,
     )
-        class Cost:
+
+
+class Cost:
     def __init__(self) -> None:
         self.parts: dict[str, float] = {}
         self.longest = 0.0
