--- a/benchmarks/assigner_limit.py
+++ b/benchmarks/assigner_limit.py
@@ -4,10 +4,10 @@
 
 One assigner's own code (sums decoded and gathered, module, orders encoded for every proxy), fed as a deployment
 would feed it, without sockets: proxies' sums each period, probes' answers, and a drain every third second. The
-cost is the processor time of each part for a second of the deployment's time; at 1.0 a core is full and rounds
-are late. Only ratios within one run mean anything on a shared machine. Channel x1 is the pace and limit of the users'
-size to come (12500 lines a second, 18800 waiting); wider ones grow with the proxies. A row without rounds that order
-means that nothing fits into the channel any more: its limit gave first.
+cost is the processor time of each part for a second of deployment time; at 1.0 a core is full and rounds are late.
+Only ratios within one run mean anything on a shared machine. Channel x1 is the pace and limit of the users' size to
+come (12500 lines a second, 18800 waiting); wider ones grow with the proxies. A row without rounds that order means
+that nothing fits into the channel any more: its limit gave first.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/benchmarks/day_figures.py
@@ -0,0 +1,109 @@
+"""Figures of a played day, from its records and logs: hearing to last request, order to applied, cost, memory.
+
+python -m benchmarks.day_figures out/full-size [--table FILE]
+"""
+
+from __future__ import annotations
+
+import json
+from collections import defaultdict
+from pathlib import Path
+
+import click
+
+from puffintide.audit.records import Record, peers, read
+from puffintide.config.loader import load
+from puffintide.days.verdict import judge, quantile
+from puffintide.wire import messages as m
+
+
+def applied(records: list[Record], pace: float, delay_s: float) -> tuple[list[float], list[float]]:
+    """For each marked order that all its proxies applied: seconds from the order to the last applied, and what the
+    channel's own count (lines of all its messages at the stated pace, and the mean way) says it should take."""
+    who = peers(records)
+    told: dict[tuple[str, int], list[m.Order]] = defaultdict(list)
+    waiting: dict[tuple[str, int], set[int]] = defaultdict(set)
+    marks: dict[tuple[str, int], tuple[str, int]] = {}
+    done: dict[tuple[str, int], float] = {}
+    for r in sorted(records, key=lambda r: (r.came, r.number)):
+        peer = who.get(r.conn)
+        if peer is None:
+            continue
+        if isinstance(r.message, m.Order) and r.message.mark is not None and r.went is not None:
+            key = (r.link, r.message.batch)
+            told[key].append(r.message)
+            waiting[key].add(peer.id)
+            marks[r.link, r.message.mark] = key
+        elif isinstance(r.message, m.Applied):
+            found = marks.get((r.link, r.message.mark))
+            if found is not None:
+                waiting[found].discard(peer.id)
+                done[found] = r.came
+    took, stated = [], []
+    for key, orders in told.items():
+        if not waiting[key] and key in done:
+            took.append(done[key] - orders[0].at)
+            stated.append(sum(order.cost for order in orders) / pace + delay_s)
+    return took, stated
+
+
+@click.command()
+@click.argument("folder")
+@click.option("--table", default="")
+def main(folder: str, table: str) -> None:
+    out = Path(folder)
+    config = load(str(out / "day.ini"), ("day", "fleet", "load"))
+    records: list[Record] = []
+    for path in sorted(out.glob("tap*.jsonl")):
+        with path.open("rb") as file:
+            records += read(file, path.name).records
+    took, stated = applied(records, config.channel.lines_per_s, config.net.order_late_s)
+    ratio = sorted(t / s for t, s in zip(took, stated, strict=True))
+    took.sort()
+    stated.sort()
+    del records
+    verdict = judge(out)
+    drain = verdict.judgement.drain_s
+    grace = config.rules.drain_grace_s
+    lines = ["| figure | value |", "| --- | --- |"]
+    for rule, near in verdict.judgement.nearest.items():
+        broken = sum(f.rule == rule for f in verdict.judgement.findings)
+        lines.append(
+            f"| {rule} | {'BROKEN ' + str(broken) if broken else 'kept'}, nearest {near:.0%} of its limit |"
+        )
+    lines.append(
+        f"| worth served, worst 10 s | {verdict.service.whole:.3f}, {verdict.service.worst_window:.3f} |"
+    )
+    lines.append(
+        f"| hearing of a loss to the last request there, p50/p99/max s (grace {grace}) | "
+        f"{quantile(drain, 0.5):.2f} / {quantile(drain, 0.99):.2f} / {(drain or [0.0])[-1]:.2f}, {len(drain)} cases |"
+    )
+    lines.append(
+        f"| order to applied at all its proxies, p50/p99/max s | {quantile(took, 0.5):.2f} / "
+        f"{quantile(took, 0.99):.2f} / {(took or [0.0])[-1]:.2f}, {len(took)} orders |"
+    )
+    lines.append(
+        f"| the same by the channel's own count, p50/max s | {quantile(stated, 0.5):.2f} / {stated[-1]:.2f} |"
+    )
+    lines.append(
+        f"| measured over counted, p50/p99 | {quantile(ratio, 0.5):.2f} / {quantile(ratio, 0.99):.2f} |"
+    )
+    for path in sorted(out.glob("assigner-*.log")):
+        stats = [row for row in map(json.loads, path.read_text().splitlines()) if row["event"] == "stats"]
+        if len(stats) < 3:
+            continue
+        span = 5.0 * (len(stats) - 1)
+        cpu = (stats[-1]["cpu_s"] - stats[0]["cpu_s"]) / span
+        minute = min(12, len(stats) - 1)
+        lines.append(
+            f"| {path.stem}: core used, most lines waiting, memory at 1 min and the end | {cpu:.2f}, "
+            f"{stats[-1]['most_waiting']}, {stats[minute]['rss_kb'] // 1024} and {stats[-1]['rss_kb'] // 1024} MiB |"
+        )
+    text = "\n".join(lines)
+    click.echo(text)
+    if table:
+        Path(table).write_text(text + "\n", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- a/puffintide/assigner/channel.py
+++ b/puffintide/assigner/channel.py
@@ -26,7 +26,7 @@
     limit: lines that may wait in all. Guards against proxies that stop reading, one or many.
     """
 
-    def __init__(self, lines_per_s: float, limit: float) -> None:
+    def __init__(self, lines_per_s: float, limit: float, span_s: float = 10.0) -> None:
         self.lines_per_s = lines_per_s
         self.limit = limit
         self._queue: deque[tuple[int, Order]] = deque()
@@ -34,7 +34,10 @@
         self._parked: dict[int, _Parked] = {}
         self._waiting = 0.0
         self.most_waiting = 0.0
-        self.sent: dict[int, int] = {}  # messages by proxy, for the log
+        self.sent = 0  # messages in all, and the most to one proxy within span_s, for the log
+        self.most_messages = 0
+        self._span_s = span_s
+        self._recent: dict[int, deque[float]] = {}
         self._given_up: list[int] = []
 
     def join(self, proxy: int) -> None:
@@ -44,6 +47,7 @@
     def leave(self, proxy: int) -> None:
         """What waits for the proxy is lost with its stream."""
         self._parked.pop(proxy, None)
+        self._recent.pop(proxy, None)
         lost = sum(order.cost for to, order in self._queue if to == proxy)
         if lost:
             self._queue = deque((to, order) for to, order in self._queue if to != proxy)
@@ -75,7 +79,7 @@
             parked = self._parked[proxy]  # leave() took away what was for others
             if parked.writable and not parked.orders:
                 out.append((proxy, order))
-                self.sent[proxy] = self.sent.get(proxy, 0) + 1
+                self._count(proxy, now)
             else:
                 parked.orders.append(order)
                 parked.lines += order.cost
@@ -91,7 +95,15 @@
         self._given_up.append(worst)
         return True
 
-    def set_writable(self, proxy: int, writable: bool) -> list[Order]:
+    def _count(self, proxy: int, now: float) -> None:
+        recent = self._recent.setdefault(proxy, deque())
+        recent.append(now)
+        while recent[0] < now - self._span_s:
+            recent.popleft()
+        self.sent += 1
+        self.most_messages = max(self.most_messages, len(recent))
+
+    def set_writable(self, now: float, proxy: int, writable: bool) -> list[Order]:
         """Tells that a proxy reads again or not; gives what it had held back."""
         parked = self._parked.get(proxy)
         if parked is None:
@@ -102,7 +114,8 @@
         orders = list(parked.orders)
         parked.orders.clear()
         parked.lines = 0.0
-        self.sent[proxy] = self.sent.get(proxy, 0) + len(orders)
+        for _ in orders:
+            self._count(proxy, now)
         return orders
 
     def next_due(self) -> float | None:
--- a/puffintide/assigner/service.py
+++ b/puffintide/assigner/service.py
@@ -31,7 +31,9 @@
         self.reactor, self.config, self.me, self.log, self.life = reactor, config, config.assigner, log, life
         self.settings = settings(config, self.me.id, self.me.zone, self.me.seed)
         self.runtime = Runtime(self.settings)
-        self.channel = Channel(self.settings.channel_lines_per_s, self.settings.channel_limit)
+        self.channel = Channel(
+            self.settings.channel_lines_per_s, self.settings.channel_limit, self.settings.messages_span_s
+        )
         self.reports = Gatherer(self.settings.report_lines_per_s, by_proxy=self.settings.slices == 0)
         self.draw = random.Random(f"{self.me.seed}:{self.me.id}:{life}").random
         self.proxies: dict[int, Stream] = {}
@@ -303,7 +305,7 @@
 
     def _drain(self) -> None:
         for number, stream in sorted(self.proxies.items()):
-            for order in self.channel.set_writable(number, stream.writable):
+            for order in self.channel.set_writable(self.now(), number, stream.writable):
                 stream.send(order)
         leave, given_up = self.channel.take(self.now())
         for proxy, order in leave:
@@ -353,7 +355,8 @@
             slices=len(self.runtime.tokens),
             waiting=round(self.channel.waiting()),
             most_waiting=round(self.channel.most_waiting),
-            messages=sum(self.channel.sent.values()),
+            messages=self.channel.sent,
+            most_messages=self.channel.most_messages,
             applied_late_s=round(self.late_most, 3),
             rss_kb=rss_kb(),
         )
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -320,21 +320,21 @@
     channel = Channel(lines_per_s=1e9, limit=45.0)
     for proxy in (0, 1, 2):
         channel.join(proxy)
-    channel.set_writable(0, False)
+    channel.set_writable(0.0, 0, False)
     for k in range(3):
         channel.put(0, order(k))
         channel.put(1, order(k))
         sent, given_up = channel.take(k + 0.5)
         assert [p for p, _ in sent] == [1] and given_up == []
     assert channel.waiting() == 30
-    channel.set_writable(2, False)
+    channel.set_writable(3.0, 2, False)
     channel.put(2, order(3))
     channel.take(3.5)
     channel.put(1, order(4))  # a line too many in all: the one that holds most back goes
     sent, given_up = channel.take(4.5)
     assert [p for p, _ in sent] == [1] and given_up == [0]
     assert channel.most_waiting <= 45 and channel.waiting() == 10
-    assert channel.set_writable(0, True) == [] and len(channel.set_writable(2, True)) == 1
+    assert channel.set_writable(5.0, 0, True) == [] and len(channel.set_writable(5.0, 2, True)) == 1
 
 
 def test_what_waits_is_lost_with_the_stream() -> None:
