--- a/benchmarks/day_figures.py
+++ b/benchmarks/day_figures.py
@@ -75,12 +75,12 @@
         f"| worth served, worst 10 s | {verdict.service.whole:.3f}, {verdict.service.worst_window:.3f} |"
     )
     lines.append(
-        f"| hearing of a loss to the last request there, p50/p99/max s (grace {grace}) | "
-        f"{quantile(drain, 0.5):.2f} / {quantile(drain, 0.99):.2f} / {(drain or [0.0])[-1]:.2f}, {len(drain)} cases |"
+        f"| hearing of a loss to the last request, p50/p99/max s (grace {grace}) | "
+        f"{quantile(drain, 0.5):.2f} / {quantile(drain, 0.99):.2f} / {quantile(drain, 1):.2f}, {len(drain)} cases |"
     )
     lines.append(
         f"| order to applied at all its proxies, p50/p99/max s | {quantile(took, 0.5):.2f} / "
-        f"{quantile(took, 0.99):.2f} / {(took or [0.0])[-1]:.2f}, {len(took)} orders |"
+        f"{quantile(took, 0.99):.2f} / {quantile(took, 1):.2f}, {len(took)} orders |"
     )
     lines.append(
         f"| the same by the channel's own count, p50/max s | {quantile(stated, 0.5):.2f} / {stated[-1]:.2f} |"
@@ -96,8 +96,8 @@
         cpu = (stats[-1]["cpu_s"] - stats[0]["cpu_s"]) / span
         minute = min(12, len(stats) - 1)
         lines.append(
-            f"| {path.stem}: core used, most lines waiting, memory at 1 min and the end | {cpu:.2f}, "
-            f"{stats[-1]['most_waiting']}, {stats[minute]['rss_kb'] // 1024} and {stats[-1]['rss_kb'] // 1024} MiB |"
+            f"| {path.stem}: core, most lines waiting, memory at 1 min and the end | {cpu:.2f}, "
+            f"{stats[-1]['most_waiting']}, {stats[minute]['rss_kb'] // 1024} and {stats[-1]['rss_kb'] // 1024} M |"
         )
     text = "\n".join(lines)
     click.echo(text)
