Benchmark of the proxy beside a bare relay and the straight way

Cause: the proxy's cost and its choices over 100,000 requests on sockets are to be shown. Change: benchmarks/proxy_cost.py, three ways side by side in a run, open loop. Measured: not yet run on a quiet machine.

--- /dev/null
+++ b/benchmarks/proxy_cost.py
@@ -0,0 +1,331 @@
+"""What the proxy costs: the same requests straight to a server, through a bare byte relay, and through the proxy.
+
+    python -m benchmarks.proxy_cost [--requests 100000] [--rounds 3] [--table FILE] [--plot FILE]
+
+One run measures all three side by side, round after round, and gives medians; only ratios within a run count on
+a shared machine. First the throughput with 64 requests under way, then latency at fixed open-loop rates (the time
+of a request runs from when it was due, so that a slow answer hides nothing). Servers answer at once. The choice
+check counts what each server got over all requests beside the published weights.
+"""
+
+from __future__ import annotations
+
+import configparser
+import json
+import os
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+from hdrh.histogram import HdrHistogram
+
+from puffintide.days.place import Ports
+from puffintide.proxy.state import save_state
+from puffintide.proxy.tables import Saved
+from puffintide.wire import messages as m
+from puffintide.wire.codec import encode
+
+WEIGHTS = (1.0, 2.0, 3.0, 4.0)
+SLICES = 16
+WINDOW = 64
+WAYS = ("direct", "relay", "proxy")
+
+
+# Child processes ---------------------------------------------------------------------------------------------
+
+
+def _protocols() -> Any:
+    from twisted.internet.protocol import Factory, Protocol
+
+    class Server(Protocol):
+        """Greets and answers each try at once; counts them."""
+
+        transport: Any
+        factory: Any
+
+        def connectionMade(self) -> None:
+            self.transport.setTcpNoDelay(True)
+            self.rest = b""
+            self.factory.streams += 1
+
+        def dataReceived(self, data: bytes) -> None:
+            *lines, self.rest = (self.rest + data).split(b"\n")
+            out = []
+            for line in lines:
+                if line.startswith(b'{"t":"try","id":'):
+                    self.factory.count += 1
+                    out.append(b'{"t":"answer","id":' + line[16 : line.index(b",", 16)] + b',"status":0}\n')
+                elif line.startswith(b'{"t":"hello"'):
+                    out.append(encode(m.Welcome(m.VERSION, "server", 0)) + b"\n")
+                elif line.startswith(b'{"t":"count"'):
+                    out.append(b'{"count":%d}\n' % self.factory.count)
+                elif line.startswith(b'{"t":"ping"'):
+                    out.append(b'{"t":"pong"}\n')
+            self.transport.write(b"".join(out))
+
+    class Servers(Factory):
+        protocol = Server
+        noisy = False
+        count = 0
+        streams = 0
+
+    return Servers
+
+
+def serve(ports: list[int]) -> None:
+    from twisted.internet import reactor
+
+    made: Any = reactor
+    servers = _protocols()
+    for port in ports:
+        made.listenTCP(port, servers(), 500, "127.0.0.1")
+    print("ready", flush=True)
+    made.run()
+
+
+def relay(port: int, target: int) -> None:
+    """Bytes both ways and nothing else, Twisted's own port forwarder."""
+    from twisted.internet import reactor
+    from twisted.protocols.portforward import ProxyFactory
+
+    made: Any = reactor
+    made.listenTCP(port, ProxyFactory("127.0.0.1", target), 500, "127.0.0.1")
+    print("ready", flush=True)
+    made.run()
+
+
+def drive(port: int, way: str, count: int, rate: float) -> None:
+    """The client: `count` requests, WINDOW under way if rate is 0, else at that many a second. Prints a result."""
+    from twisted.internet import reactor
+    from twisted.internet.protocol import ClientFactory, Protocol
+
+    made: Any = reactor
+    histogram = HdrHistogram(1, 60_000_000, 3)  # microseconds
+    work: dict[str, Any] = {"sent": 0, "done": 0, "bad": 0, "began": 0.0}
+    due: dict[int, float] = {}
+
+    def line(number: int) -> bytes:
+        if way == "proxy":
+            return b'{"t":"ask","id":%d,"request_class":0,"key":%d,"left_s":10}\n' % (number, number)
+        return (
+            b'{"t":"try","id":%d,"request":%d,"proxy":0,"slice":0,"request_class":0,"key":%d,"number":0,"left_s":10}\n'
+            % (number, number, number)
+        )
+
+    class Client(Protocol):
+        transport: Any
+
+        def connectionMade(self) -> None:
+            self.transport.setTcpNoDelay(True)
+            self.rest = b""
+            self.transport.write(encode(m.Hello(m.VERSION, "client", 0)) + b"\n")
+
+        def dataReceived(self, data: bytes) -> None:
+            *lines, self.rest = (self.rest + data).split(b"\n")
+            now = time.monotonic()
+            for answer in lines:
+                if answer.startswith(b'{"t":"welcome"'):
+                    work["began"] = now
+                    self.more(WINDOW) if not rate else self.tick()
+                    continue
+                if b'"id":' not in answer:
+                    if answer.startswith(b'{"t":"ping"'):
+                        self.transport.write(b'{"t":"pong"}\n')
+                    continue
+                at = answer.index(b'"id":') + 5
+                number = int(answer[at : answer.index(b",", at)])
+                work["bad"] += b'"status":0' not in answer
+                histogram.record_value(max(1, int((now - due.pop(number)) * 1e6)))
+                work["done"] += 1
+            if work["done"] >= count:
+                self.finish()
+            elif not rate:
+                self.more(work["done"] + WINDOW - work["sent"])
+
+        def more(self, number: int) -> None:
+            now = time.monotonic()
+            out = []
+            for _ in range(min(number, count - work["sent"])):
+                work["sent"] += 1
+                due[work["sent"]] = now
+                out.append(line(work["sent"]))
+            self.transport.write(b"".join(out))
+
+        def tick(self) -> None:
+            now = time.monotonic()
+            while work["sent"] < count and work["began"] + work["sent"] / rate <= now:
+                due[work["sent"] + 1] = work["began"] + work["sent"] / rate
+                work["sent"] += 1
+                self.transport.write(line(work["sent"]))
+            if work["sent"] < count:
+                made.callLater(max(0.0, work["began"] + work["sent"] / rate - time.monotonic()), self.tick)
+
+        def finish(self) -> None:
+            took = time.monotonic() - work["began"]
+            row = {"rate": count / took, "bad": work["bad"]}
+            row |= {f"p{q}": histogram.get_value_at_percentile(q) for q in (50, 99, 99.9)}
+            print(json.dumps(row), flush=True)
+            made.stop()
+
+    class Clients(ClientFactory):
+        protocol = Client
+        noisy = False
+
+    made.connectTCP("127.0.0.1", port, Clients())
+    made.callLater(120, made.stop)
+    made.run()
+
+
+# The run ------------------------------------------------------------------------------------------------------
+
+
+def _spawn(*words: str) -> subprocess.Popen[str]:
+    started = subprocess.Popen(
+        [sys.executable, "-m", *words], stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True
+    )
+    assert started.stdout is not None and started.stdout.readline() == "ready\n", f"{words} did not start"
+    return started
+
+
+def _drive(port: int, way: str, count: int, rate: float) -> dict[str, float]:
+    words = [sys.executable, "-m", "benchmarks.proxy_cost", "--drive", f"{port},{way},{count},{rate}"]
+    done = subprocess.run(words, capture_output=True, text=True, timeout=150)
+    row: dict[str, float] = json.loads(done.stdout)
+    assert not row["bad"], f"{row['bad']} requests were not answered"
+    return row
+
+
+def _counts(ports: list[int]) -> list[int]:
+    import socket
+
+    found = []
+    for port in ports:
+        with socket.create_connection(("127.0.0.1", port), 5) as sock:
+            sock.sendall(b'{"t":"count"}\n')
+            found.append(json.loads(sock.makefile().readline())["count"])
+    return found
+
+
+@click.command()
+@click.option("--requests", default=100_000)
+@click.option("--rounds", default=3)
+@click.option("--table", default="")
+@click.option("--plot", default="")
+@click.option("--drive", "drive_words", default="", hidden=True)
+@click.option("--serve", "serve_words", default="", hidden=True)
+@click.option("--relay", "relay_words", default="", hidden=True)
+def main(
+    requests: int, rounds: int, table: str, plot: str, drive_words: str, serve_words: str, relay_words: str
+) -> None:
+    if drive_words:
+        port, way, count, rate = drive_words.split(",")
+        drive(int(port), way, int(count), float(rate))
+        return
+    if serve_words:
+        serve([int(p) for p in serve_words.split(",")])
+        return
+    if relay_words:
+        front, target = relay_words.split(",")
+        relay(int(front), int(target))
+        return
+    ports = Ports(os.getpid() * 41)
+    servers = [ports.take() for _ in WEIGHTS]
+    relay_port, proxy_port, nobody = ports.take(), ports.take(), ports.take()
+    started: list[subprocess.Popen[str]] = []
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            me = "benchmarks.proxy_cost"
+            started.append(_spawn(me, "--serve", ",".join(map(str, servers))))
+            started.append(_spawn(me, "--relay", f"{relay_port},{servers[0]}"))
+            config = _proxy(Path(folder), servers, proxy_port, nobody)
+            started.append(_spawn("puffintide", "proxy", "--config", str(config)))
+            ways = {"direct": servers[0], "relay": relay_port, "proxy": proxy_port}
+            text = _measure(requests, rounds, servers, ways, plot)
+        finally:
+            for process in started:
+                process.kill()
+                process.wait()
+    click.echo(text)
+    if table:
+        Path(table).write_text(text + "\n", encoding="utf-8")
+
+
+def _proxy(folder: Path, servers: list[int], port: int, nobody: int) -> Path:
+    """A proxy that lives on the tables of its file, with no assigner or store there."""
+    held = [m.Held(s, w, f"127.0.0.1:{p}") for s, (w, p) in enumerate(zip(WEIGHTS, servers, strict=True))]
+    charges = [m.Charge(n, 1, 0, held) for n in range(SLICES)]
+    save_state(str(folder / "tables.json"), Saved(1, time.time(), charges, {}, []))
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read_dict({
+        "deployment": {"name": "cost", "proxies": "1", "slices": str(SLICES)},
+        "class read": {"aim_s": "1", "deadline_s": "10"},
+        "proxy": {"id": "0", "listen": f"127.0.0.1:{port}", "assigners": f"127.0.0.1:{nobody}",
+                  "store": f"127.0.0.1:{nobody}", "state": str(folder / "tables.json")},
+    })  # fmt: skip
+    path = folder / "proxy.ini"
+    with path.open("w") as file:
+        parser.write(file)
+    return path
+
+
+def _measure(requests: int, rounds: int, servers: list[int], ways: dict[str, int], plot: str) -> str:
+    before = _counts(servers)
+    full: dict[str, list[float]] = {way: [] for way in WAYS}
+    through = 0
+    for _ in range(rounds):
+        for way in WAYS:
+            full[way].append(_drive(ways[way], way, requests // rounds, 0)["rate"])
+            through += (requests // rounds) if way == "proxy" else 0
+    after = _counts(servers)
+    rate = {way: statistics.median(values) for way, values in full.items()}
+    got = [b - a for a, b in zip(before, after, strict=True)]
+    got[0] -= 2 * (requests // rounds) * rounds  # direct and relay went there
+    off = max(abs(g / (through * w / sum(WEIGHTS)) - 1) for g, w in zip(got, WEIGHTS, strict=True))
+    lines = [
+        f"Throughput, {WINDOW} under way, medians: proxy {rate['proxy']:.0f}, relay {rate['relay']:.0f}, "
+        f"direct {rate['direct']:.0f} requests a second; proxy over relay {rate['proxy'] / rate['relay']:.2f}.",
+        "",
+        f"Choices of the proxy over {through} requests: at most {off:.2%} off the weights {WEIGHTS}.",
+        "",
+        "| open-loop rate | way | p50 ms | p99 ms | p99.9 ms |",
+        "| --- | --- | --- | --- | --- |",
+    ]
+    series: dict[str, list[tuple[float, float]]] = {way: [] for way in WAYS}
+    for share in (0.25, 0.5, 0.75):
+        at = rate["proxy"] * share
+        for way in WAYS:
+            runs = [_drive(ways[way], way, min(20000, max(2000, int(at * 3))), at) for _ in range(rounds)]
+            row = {q: statistics.median(run[q] for run in runs) / 1000 for q in ("p50", "p99", "p99.9")}
+            series[way].append((at, row["p99"]))
+            lines.append(
+                f"| {at:.0f} ({share:.0%} of the proxy's) | {way} | {row['p50']:.2f} | {row['p99']:.2f} "
+                f"| {row['p99.9']:.2f} |"
+            )
+    if plot:
+        _plot(series, plot)
+    return "\n".join(lines)
+
+
+def _plot(series: dict[str, list[tuple[float, float]]], path: str) -> None:
+    import matplotlib
+
+    matplotlib.use("svg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(6, 3.5))
+    for way, points in series.items():
+        axes.plot([p[0] for p in points], [p[1] for p in points], marker="o", label=way)
+    axes.set_xlabel("requests a second, open loop")
+    axes.set_ylabel("p99, ms")
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+if __name__ == "__main__":
+    main()
