--- a/puffintide/cli/processes.py
+++ b/puffintide/cli/processes.py
@@ -81,6 +81,8 @@
     log = setup(f"proxy-{config.proxy.id}", config.proxy.log, config.proxy.level)
     service = ProxyService(reactor, config, config.proxy, log)
     _listen(reactor, config.proxy.listen, service.front())
+    if service.http is not None:
+        _listen(reactor, config.proxy.http, service.http.factory())
     service.start()
     _run(reactor)
 
--- a/puffintide/config/schema.py
+++ b/puffintide/config/schema.py
@@ -166,6 +166,19 @@
     held_most: Count = 2000
     open_most: Count = 20000
     clients_most: Count = 2000
+    http: str = ""  # HOST:PORT of the HTTP front; empty: none
+    head_most: Count = 16384  # bytes of a request's or an answer's head
+    body_most: int = Field(default=8 << 20, ge=0)  # bytes of a request's body
+    replay_most: int = Field(default=65536, ge=0)  # bytes of a body kept for a further try
+    head_s: Positive = 5.0  # for a head to come in, and for a client to read what is written
+    idle_s: Positive = 30.0  # a connection without a request is closed
+    pool_most: Count = 100  # connections to one server
+
+    @model_validator(mode="after")
+    def _loopback(self) -> ProxyProcess:
+        if self.http:
+            _address(self.http)
+        return self
 
 
 class StoreProcess(Process):
--- a/puffintide/proxy/engine.py
+++ b/puffintide/proxy/engine.py
@@ -13,7 +13,7 @@
 from puffintide.proxy.admit import Gate
 from puffintide.proxy.sums import Counter
 from puffintide.proxy.tables import Tables
-from puffintide.proxy.tries import Kind, Past, further, patience
+from puffintide.proxy.tries import TRIES, Kind, Past, further, patience
 from puffintide.wire.messages import ERROR, FULL, OK, RESET, TIMEOUT, UNREACHABLE, Charge, Order, Sums
 
 Ref = Hashable  # the front's name of a request
@@ -116,13 +116,22 @@
 
 
 class Engine:
-    def __init__(self, limits: Limits, draw: Callable[[], float]) -> None:
+    """like: an engine whose tables, levels and counts this one shares, for another kind of stream."""
+
+    def __init__(self, limits: Limits, draw: Callable[[], float], like: Engine | None = None) -> None:
         self.limits = limits
-        self.tables = Tables(
-            limits.slices, limits.retry_default, limits.pick, draw, limits.zone, lambda s: self.out_at(s)
+        self.tables: Tables
+        self.gate: Gate
+        self.counter: Counter
+        self.tables = (
+            like.tables
+            if like
+            else Tables(
+                limits.slices, limits.retry_default, limits.pick, draw, limits.zone, lambda s: self.out_at(s)
+            )
         )
-        self.gate = Gate(limits.admit)
-        self.counter = Counter()
+        self.gate = like.gate if like else Gate(limits.admit)
+        self.counter = like.counter if like else Counter()
         self.servers: dict[int, _Server] = {}
         self.requests: dict[int, _Request] = {}
         self.held: dict[int, None] = {}
@@ -133,7 +142,8 @@
         self._timer = 0
         self._failed: dict[int, int] = {}  # own failures in a row
         self._shunned: dict[int, float] = {}  # until when
-        self._no_writes: dict[int, float] = {}  # by assigner: from when its slices take no writes
+        # By assigner: from when its slices take no writes.
+        self._no_writes: dict[int, float] = like._no_writes if like else {}
 
     def out_at(self, server: int) -> int:
         found = self.servers.get(server)
@@ -143,19 +153,19 @@
 
     def order(self, now: float, assigner: int, order: Order) -> list[Effect]:
         self.tables.order(assigner, order)
-        return self._again(now, order.levels != [])
+        return self.look_again(now, order.levels != [])
 
     def charges(self, now: float, charges: Iterable[Charge]) -> list[Effect]:
         for charge in charges:
             self.tables.charge(charge)
             self._no_writes.pop(charge.assigner, None)
-        return self._again(now, False)
+        return self.look_again(now)
 
     def assigner_lost(self, now: float, assigner: int) -> None:
         """Where slices have one writer, its take writes a lease longer, then none until the store is read."""
         self._no_writes.setdefault(assigner, now + self.limits.write_lease_s)
 
-    def _again(self, now: float, levels: bool) -> list[Effect]:
+    def look_again(self, now: float, levels: bool = False) -> list[Effect]:
         """Held requests look once more; a level of 0 stops them."""
         effects: list[Effect] = []
         for key in list(self.held):
@@ -222,7 +232,7 @@
 
     def _hold(self, now: float, key: int) -> list[Effect]:
         request = self.requests[key]
-        if request.number or len(self.held) >= self.limits.held_most:
+        if request.tried or len(self.held) >= self.limits.held_most:
             return self._finish(now, key, FULL)
         request.held = True
         self.held[key] = None
@@ -278,6 +288,26 @@
             return self._finish(now, key, OK)
         return self._failed_try(now, key, status if status else ERROR, proved=status == FULL, values=values)
 
+    def never_sent(self, now: float, server: int, key: int) -> list[Effect]:
+        """A try could not be written: its own connection was refused, or did not stand in time."""
+        found = self.servers.get(server)
+        if found is None or found.out.pop(key, 0) is not None or key not in self.requests:
+            return []
+        return self._failed_try(now, key, UNREACHABLE, proved=True)
+
+    def broke(self, now: float, server: int, key: int) -> list[Effect]:
+        """A try's own connection ended after something of it was written."""
+        found = self.servers.get(server)
+        if found is None or found.out.pop(key, 0) is not None or key not in self.requests:
+            return []
+        return self._failed_try(now, key, RESET, proved=False)
+
+    def pin(self, ref: Ref) -> None:
+        """No further try: its body can't be sent again, or its answer has begun to go out."""
+        key = self._by_ref.get(ref)
+        if key is not None:
+            self.requests[key].number = max(TRIES.values())
+
     def _failed_try(
         self, now: float, key: int, status: int, proved: bool, values: list[float] | None = None
     ) -> list[Effect]:
--- a/puffintide/proxy/service.py
+++ b/puffintide/proxy/service.py
@@ -11,6 +11,7 @@
 from puffintide.config.schema import ProxyProcess
 from puffintide.proxy.choice import slice_of
 from puffintide.proxy.engine import Cancel, Close, Connect, Effect, Engine, Finish, Limits, Send
+from puffintide.proxy.http import HttpProxy
 from puffintide.proxy.state import StateError, load_state, save_state
 from puffintide.proxy.tries import Kind
 from puffintide.wire import messages as m
@@ -19,6 +20,7 @@
 from puffintide.wire.stream import Acceptor, Dialler, Stream
 
 SAVE_S = 1.0
+STATS_S = 10.0
 
 
 def limits(config: Config, me: ProxyProcess) -> Limits:
@@ -54,6 +56,11 @@
         self.reactor, self.config, self.me, self.log = reactor, config, me, log
         self.draw = random.Random(f"proxy:{me.id}").random
         self.engine = Engine(limits(config, me), self.draw)
+        self.counts: dict[str, int] = {}
+        self.http: HttpProxy | None = None
+        if me.http:
+            other = Engine(limits(config, me), self.draw, like=self.engine)
+            self.http = HttpProxy(reactor, me, config.classes, other, config.deployment.slices, self._count)
         self.deployment = config.deployment.name
         self.slices = config.deployment.slices
         self.classes = len(config.classes)
@@ -84,8 +91,17 @@
             self.reactor.callLater(SAVE_S, self._save)
         for dialler in self.diallers:
             dialler.start()
+        self.reactor.callLater(STATS_S, self._stats)
         self.reactor.callLater(self.draw() * self.config.reports.period_s, self._report)
 
+    def _count(self, what: str) -> None:
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    def _stats(self) -> None:
+        late = self.engine.late_answers
+        self.log.info("stats", late_answers=late, dropped_lines=self.engine.tables.dropped, **self.counts)
+        self.reactor.callLater(STATS_S, self._stats)
+
     def now(self) -> float:
         return float(self.reactor.seconds())
 
@@ -106,6 +122,8 @@
                     self.assigners[number] = stream
                 case m.Order():
                     self._do(self.engine.order(self.now(), number, message))
+                    if self.http is not None:
+                        self.http.do(self.http.engine.look_again(self.now(), message.levels != []))
                     if message.mark is not None:
                         stream.send(m.Applied(message.mark))
                 case _:
@@ -127,6 +145,8 @@
                 stream.send(m.Read())
             case m.Charges():
                 self._do(self.engine.charges(self.now(), message.charges))
+                if self.http is not None:
+                    self.http.do(self.http.engine.look_again(self.now()))
             case m.ReadEnd():
                 pass
             case _:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -131,7 +131,7 @@
 ) -> Iterator[Any]:
     """A process of the program with this section, ready to be dialled; ended afterwards."""
     parser = configparser.ConfigParser(interpolation=None)
-    parser.read_dict({k: v | changes.get(k, {}) for k, v in SECTIONS.items()})
+    parser.read_dict({k: SECTIONS.get(k, {}) | changes.get(k, {}) for k in SECTIONS | changes})
     parser[command] = section
     path = tmp / f"{command}.ini"
     with path.open("w") as file:
