TLS on every stream, parties named by their certificates, development keys

Cause: streams were in clear, and any peer could call itself an assigner.

Change: package tls: a development authority (puffintide keys), contexts that follow their files (a new certificate holds for the next stream, a bad one is told and the last good stays), and a check at the greeting that a peer is who its certificate names. [tls] in a process's file turns it on for all its streams.

--- a/puffintide/assigner/service.py
+++ b/puffintide/assigner/service.py
@@ -5,6 +5,7 @@
 import os
 import random
 import time
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -15,10 +16,11 @@
 from puffintide.assigner.reports import Gatherer
 from puffintide.assigner.runtime import Effects, Runtime
 from puffintide.config.loader import Config, settings
+from puffintide.tls.context import Contexts
 from puffintide.wire import messages as m
 from puffintide.wire.messages import AnyMessage
 from puffintide.wire.session import Greeting
-from puffintide.wire.stream import Acceptor, Dialler, Stream
+from puffintide.wire.stream import Acceptor, Dialler, Handler, Stream
 
 STATS_S = 5.0
 
@@ -26,9 +28,12 @@
 class AssignerService:
     """One assigner process. life: which start of it this is; rises with each."""
 
-    def __init__(self, reactor: Any, config: Config, log: Any, life: int) -> None:
+    def __init__(
+        self, reactor: Any, config: Config, log: Any, life: int, tls: Contexts | None = None
+    ) -> None:
         assert config.assigner is not None
         self.reactor, self.config, self.me, self.log, self.life = reactor, config, config.assigner, log, life
+        self.tls = tls
         self.settings = settings(config, self.me.id, self.me.zone, self.me.seed)
         self.runtime = Runtime(self.settings)
         self.channel = Channel(
@@ -76,19 +81,18 @@
 
     def start(self) -> None:
         self._load_list()
-        Dialler(
-            self.reactor, self.me.store, self.hello, self._from_store, self._store_lost, self.draw
-        ).start()
-        Dialler(self.reactor, self.me.list, self.hello, self._from_list, self._list_lost, self.draw).start()
+        self._dial(self.me.store, self._from_store, self._store_lost)
+        self._dial(self.me.list, self._from_list, self._list_lost)
         for number, address in enumerate(self.me.peers):
             if number != self.me.id:
-                self.peers[number] = Dialler(
-                    self.reactor, address, self.hello, self._from_peer, None, self.draw
-                ).start()
+                self.peers[number] = self._dial(address, self._from_peer, None)
         self._schedule(0.0)
         self.reactor.callLater(self.settings.report_period_s, self._gather)
         self.reactor.callLater(STATS_S, self._stats)
 
+    def _dial(self, address: str, heard: Handler, lost: Callable[[str], None] | None) -> Dialler:
+        return Dialler(self.reactor, address, self.hello, heard, lost, self.draw, tls=self.tls).start()
+
     def now(self) -> float:
         return float(self.reactor.seconds())
 
@@ -392,6 +396,7 @@
             connect_s=self.timeout_s,
             dead_s=60.0,
             ping_s=30.0,
+            tls=self.owner.tls,
         ).start()
 
     def probe(self, now: float) -> None:
--- a/puffintide/cli/main.py
+++ b/puffintide/cli/main.py
@@ -75,6 +75,30 @@
     run_proxy(_load(path, "proxy"))
 
 
+@cli.command()
+@click.argument("folder")
+@click.argument("names", nargs=-1)
+@click.option("--deployment", default="default")
+@click.option("--days", default=90.0)
+def keys(folder: str, names: tuple[str, ...], deployment: str, days: float) -> None:
+    """Makes a development authority in FOLDER, and certificates for NAMES such as assigner-0, proxy-3, store-0."""
+    from puffintide.tls.keys import KeyFailure, make_authority, make_certificate
+
+    where = Path(folder)
+    try:
+        if not (where / "ca.pem").exists():
+            make_authority(where)
+            click.echo(f"{where / 'ca.pem'}: written")
+        for name in names:
+            role, _, number = name.rpartition("-")
+            if not role or not number.isdigit():
+                raise KeyFailure(f"{name!r} is not ROLE-NUMBER")
+            make_certificate(where, f"{name}.{deployment}.puffintide", days)
+            click.echo(f"{where / f'{name}.{deployment}.puffintide.pem'}: written")
+    except KeyFailure as error:
+        raise Failure(str(error)) from None
+
+
 @cli.group()
 def standin() -> None:
     """Stand-ins of a day; `day run` starts them."""
--- a/puffintide/cli/processes.py
+++ b/puffintide/cli/processes.py
@@ -18,13 +18,28 @@
 
 from puffintide.config.loader import Config, load
 from puffintide.logs import setup
+from puffintide.tls.context import Contexts, TlsError
 from puffintide.wire.clock import monotonic_reactor
 
 
-def _listen(reactor: Any, address: str, factory: Any) -> None:
+def _tls(config: Config, log: Any) -> Contexts | None:
+    if config.tls is None:
+        return None
+    try:
+        files = (config.tls.ca, config.tls.cert, config.tls.key)
+        return Contexts(*files, warn=lambda text: log.warning("certificate_unread", reason=text))
+    except TlsError as error:
+        print(f"puffintide: {config.path}: [tls] {error}", file=sys.stderr)
+        sys.exit(2)
+
+
+def _listen(reactor: Any, address: str, factory: Any, tls: Contexts | None = None) -> None:
     host, _, port = address.rpartition(":")
     try:
-        reactor.listenTCP(int(port), factory, 2000, host)
+        if tls is None:
+            reactor.listenTCP(int(port), factory, 2000, host)
+        else:
+            reactor.listenSSL(int(port), factory, tls, 2000, host)
     except CannotListenError as error:
         print(f"puffintide: can't listen on {address}: {error.socketError}", file=sys.stderr)
         sys.exit(2)
@@ -43,8 +58,9 @@
     assert config.assigner is not None
     reactor = monotonic_reactor()
     log = setup(f"assigner-{config.assigner.id}", config.assigner.log, config.assigner.level)
-    service = AssignerService(reactor, config, log, life or int(time.time()))
-    _listen(reactor, config.assigner.listen, service.factory())
+    tls = _tls(config, log)
+    service = AssignerService(reactor, config, log, life or int(time.time()), tls)
+    _listen(reactor, config.assigner.listen, service.factory(), tls)
     log.info("started", life=service.life, listen=config.assigner.listen)
     service.start()
     _run(reactor)
@@ -68,7 +84,7 @@
             print(f"puffintide: {error}", file=sys.stderr)
             sys.exit(2)
     service = StoreService(reactor, book, d.name, log)
-    _listen(reactor, config.store.listen, service.factory())
+    _listen(reactor, config.store.listen, service.factory(), _tls(config, log))
     service.start()
     _run(reactor)
 
@@ -79,10 +95,11 @@
     assert config.proxy is not None
     reactor = monotonic_reactor()
     log = setup(f"proxy-{config.proxy.id}", config.proxy.log, config.proxy.level)
-    service = ProxyService(reactor, config, config.proxy, log)
-    _listen(reactor, config.proxy.listen, service.front())
+    tls = _tls(config, log)
+    service = ProxyService(reactor, config, config.proxy, log, tls)
+    _listen(reactor, config.proxy.listen, service.front(), tls)
     if service.http is not None:
-        _listen(reactor, config.proxy.http, service.http.factory())
+        _listen(reactor, config.proxy.http, service.http.factory(), tls)
     service.start()
     _run(reactor)
 
--- a/puffintide/config/loader.py
+++ b/puffintide/config/loader.py
@@ -31,6 +31,7 @@
     "assigner": s.AssignerProcess,
     "store": s.StoreProcess,
     "proxy": s.ProxyProcess,
+    "tls": s.Tls,
     "fleet": s.Fleet,
     "load": s.Load,
     "net": s.Net,
@@ -56,6 +57,7 @@
     assigner: s.AssignerProcess | None = None
     store: s.StoreProcess | None = None
     proxy: s.ProxyProcess | None = None
+    tls: s.Tls | None = None
     fleet: s.Fleet | None = None
     load: s.Load | None = None
     net: s.Net = field(default_factory=s.Net)
--- a/puffintide/config/schema.py
+++ b/puffintide/config/schema.py
@@ -186,6 +186,14 @@
     start_tables: str = ""  # a file of first tables, JSON lines of Charge
 
 
+class Tls(Section):
+    """Files in PEM. With this section every stream of the process is TLS, both ends showing a certificate."""
+
+    ca: str
+    cert: str
+    key: str
+
+
 class Fleet(Section):
     """The session servers of a day; values are dealt in turn to the servers."""
 
--- a/puffintide/proxy/service.py
+++ b/puffintide/proxy/service.py
@@ -14,6 +14,7 @@
 from puffintide.proxy.http import HttpProxy
 from puffintide.proxy.state import StateError, load_state, save_state
 from puffintide.proxy.tries import Kind
+from puffintide.tls.context import Contexts
 from puffintide.wire import messages as m
 from puffintide.wire.messages import AnyMessage
 from puffintide.wire.session import Greeting
@@ -52,7 +53,10 @@
 class ProxyService:
     """One proxy. Several may live in one process; they share nothing but the reactor."""
 
-    def __init__(self, reactor: Any, config: Config, me: ProxyProcess, log: Any) -> None:
+    def __init__(
+        self, reactor: Any, config: Config, me: ProxyProcess, log: Any, tls: Contexts | None = None
+    ) -> None:
+        self.tls = tls
         self.reactor, self.config, self.me, self.log = reactor, config, me, log
         self.draw = random.Random(f"proxy:{me.id}").random
         self.engine = Engine(limits(config, me), self.draw)
@@ -75,10 +79,14 @@
         self.timer: Any = None
         self.saved_version = 0
         self.diallers = [
-            Dialler(reactor, a, self._hello(k), self._from_assigner(k), self._assigner_lost(k), self.draw)
+            Dialler(
+                reactor, a, self._hello(k), self._from_assigner(k), self._assigner_lost(k), self.draw, tls=tls
+            )
             for k, a in enumerate(me.assigners)
         ]
-        self.diallers.append(Dialler(reactor, me.store, self._hello(-1), self._from_store, None, self.draw))
+        self.diallers.append(
+            Dialler(reactor, me.store, self._hello(-1), self._from_store, None, self.draw, tls=tls)
+        )
 
     def start(self) -> None:
         if self.me.state:
@@ -262,7 +270,7 @@
 
         dialler = Dialler(
             self.reactor, address, lambda: hello, message, lost, again=False, connect_s=self.me.connect_s,
-            ping_s=30.0, dead_s=90.0,
+            ping_s=30.0, dead_s=90.0, tls=self.tls,
         )  # fmt: skip
         self.servers[server] = dialler
         dialler.start()
--- a/puffintide/wire/codec.py
+++ b/puffintide/wire/codec.py
@@ -6,7 +6,9 @@
 
 from puffintide.wire.messages import AnyMessage, Message
 
-LINE_MOST = 4 << 20  # bytes of a line, the newline left out; holds an order of the most lines a channel may have
+LINE_MOST = (
+    4 << 20
+)  # bytes of a line, the newline left out; holds an order of the most lines a channel may have
 
 _encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(AnyMessage)
--- a/puffintide/wire/stream.py
+++ b/puffintide/wire/stream.py
@@ -10,8 +10,10 @@
 from twisted.protocols.basic import LineOnlyReceiver
 from twisted.python.failure import Failure
 
+from puffintide.tls.context import Contexts, names
+from puffintide.tls.keys import party
 from puffintide.wire.codec import LINE_MOST, WireError, encode
-from puffintide.wire.messages import AnyMessage, Message, Refuse
+from puffintide.wire.messages import AnyMessage, Hello, Message, Refuse, Welcome
 from puffintide.wire.session import Greeting, Judge, Session, any_peer
 
 PING_S, DEAD_S = 0.5, 2.0  # a half-open stream is noticed within the second
@@ -51,11 +53,32 @@
         except WireError as error:
             self.refuse(str(error))
             return
+        wrong = None if self.up else self._wrong_name(messages)
+        if wrong is not None:
+            self.refuse(wrong)
+            return
         self._send_all(replies)
         for message in messages:
             self.up = True
             self.on_message(self, message)
 
+    def _wrong_name(self, messages: list[AnyMessage]) -> str | None:
+        """On TLS a peer is who its certificate says, and nobody else. Clients need any of the same authority."""
+        shown = names(self.transport)
+        if shown is None or not messages:
+            return None
+        greeting = messages[0]
+        if not isinstance(greeting, Hello | Welcome) or greeting.role == "client":
+            return None
+        mine = self.session.me
+        deployment = mine.deployment if isinstance(mine, Hello) else getattr(greeting, "deployment", "")
+        name = party(greeting.role, greeting.id, deployment)
+        return (
+            None
+            if name in shown
+            else f"its certificate is for {', '.join(sorted(shown)) or 'nobody'}, not {name}"
+        )
+
     def lineLengthExceeded(self, line: bytes) -> None:
         self.refuse(f"line over the limit of {LINE_MOST} bytes")
 
@@ -173,12 +196,14 @@
         ping_s: float = PING_S,
         dead_s: float = DEAD_S,
         connect_s: float = 2.0,
+        tls: Contexts | None = None,
     ) -> None:
         self.reactor, self.me, self.on_message, self.on_lost = reactor, me, on_message, on_lost
         host, _, port = address.rpartition(":")
         self.host, self.port = host, int(port)
         self.draw, self.wait_s, self.again = draw, wait_s, again
         self.ping_s, self.dead_s, self.connect_s = ping_s, dead_s, connect_s
+        self.tls = tls
         self.stream: Stream | None = None
         self.failures = 0
         self.stopped = False
@@ -187,8 +212,12 @@
 
     def start(self) -> Dialler:
         self._later = None
-        if not self.stopped:
+        if not self.stopped and self.tls is None:
             self._connector = self.reactor.connectTCP(self.host, self.port, _Dial(self), self.connect_s)
+        elif not self.stopped:
+            self._connector = self.reactor.connectSSL(
+                self.host, self.port, _Dial(self), self.tls, self.connect_s
+            )
         return self
 
     def _message(self, stream: Stream, message: AnyMessage) -> None:
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -351,3 +351,30 @@
         with pytest.raises(TableError, match=words):
             read_tables(str(path), 4)
     assert os.path.exists(path)
+
+
+def test_ctrl_c_leaves_no_process_and_no_verdict(tmp_path: Path) -> None:
+    import signal
+    import time
+
+    words = [
+        sys.executable,
+        "-m",
+        "puffintide",
+        "day",
+        "run",
+        str(BAD_DAY),
+        "--out",
+        str(tmp_path / "out"),
+        "--quiet",
+    ]
+    run = subprocess.Popen(words, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+    end = time.monotonic() + 30
+    while not (tmp_path / "out" / "clients.jsonl").exists():
+        assert time.monotonic() < end
+        time.sleep(0.2)
+    run.send_signal(signal.SIGINT)
+    out, err = run.communicate(timeout=40)
+    assert run.returncode == 2 and "stopped by hand" in err and "kept" not in out
+    left = subprocess.run(["pgrep", "-f", str(tmp_path / "out")], capture_output=True, text=True)
+    assert left.stdout == ""
--- /dev/null
+++ b/tests/test_tls.py
@@ -0,0 +1,188 @@
+"""TLS between real processes: who may speak as whom, and certificates that change while streams stand."""
+
+from __future__ import annotations
+
+import os
+import socket
+import ssl
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from puffintide.tls.context import Contexts, TlsError
+from puffintide.tls.keys import KeyFailure, make_authority, make_certificate, party
+from puffintide.wire import messages as m
+from puffintide.wire.codec import decode, encode
+from tests.peers import PORTS, process
+
+
+@pytest.fixture
+def keys(tmp_path: Path) -> Path:
+    folder = tmp_path / "keys"
+    make_authority(folder)
+    for role, number in (("store", 0), ("proxy", 3), ("assigner", 0)):
+        make_certificate(folder, party(role, number, "t"))
+    return folder
+
+
+@pytest.fixture
+def store(tmp_path: Path, keys: Path) -> Iterator[tuple[Any, int]]:
+    port = PORTS.take()
+    live = tmp_path / "live"
+    live.mkdir()
+    swap(keys, live, party("store", 0, "t"))
+    tls = {"ca": str(keys / "ca.pem"), "cert": str(live / "cert.pem"), "key": str(live / "key.pem")}
+    section = {"listen": f"127.0.0.1:{port}", "log": str(tmp_path / "store.log")}
+    with process(tmp_path, "store", section, tls=tls) as running:
+        yield running, port
+
+
+def swap(keys: Path, live: Path, name: str) -> None:
+    for kind, target in (("pem", "cert.pem"), ("key", "key.pem")):
+        (live / "new").write_bytes((keys / f"{name}.{kind}").read_bytes())
+        os.replace(live / "new", live / target)
+
+
+def dial(port: int, folder: Path, name: str, authority: Path | None = None) -> ssl.SSLSocket:
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    context.check_hostname = False
+    context.load_verify_locations((authority or folder) / "ca.pem")
+    context.load_cert_chain(folder / f"{name}.pem", folder / f"{name}.key")
+    sock = context.wrap_socket(socket.create_connection(("127.0.0.1", port), 5))
+    sock.settimeout(5)
+    return sock
+
+
+def greet(sock: ssl.SSLSocket, role: str, number: int) -> m.AnyMessage | None:
+    sock.sendall(encode(m.Hello(m.VERSION, role, number, 0, "t")) + b"\n")
+    data = b""
+    while b"\n" not in data:
+        try:
+            more = sock.recv(4096)
+        except (ConnectionResetError, ssl.SSLError):
+            return None
+        if not more:
+            return None
+        data += more
+    return decode(data.split(b"\n")[0])
+
+
+def test_a_party_is_who_its_certificate_says(keys: Path, store: Any) -> None:
+    _, port = store
+    with dial(port, keys, party("proxy", 3, "t")) as sock:
+        assert greet(sock, "proxy", 3) == m.Welcome(m.VERSION, "store", 0)
+    for role, number in (("assigner", 0), ("proxy", 4)):
+        with dial(port, keys, party("proxy", 3, "t")) as sock:
+            refusal = greet(sock, role, number)
+            assert isinstance(refusal, m.Refuse) and f"not {party(role, number, 't')}" in refusal.reason
+
+
+def test_strangers_expired_and_bare_peers_do_not_get_in(keys: Path, store: Any, tmp_path: Path) -> None:
+    _, port = store
+    other = tmp_path / "other"
+    make_authority(other)
+    make_certificate(other, party("proxy", 3, "t"))
+    make_certificate(keys, "old.t.puffintide", days=-1)
+    (keys / "x.pem").write_bytes((keys / "old.t.puffintide.pem").read_bytes())
+    for folder, name in ((other, party("proxy", 3, "t")), (keys, "old.t.puffintide")):
+        try:
+            with dial(port, folder, name, authority=keys) as sock:
+                assert greet(sock, "proxy", 3) is None
+        except (ssl.SSLError, ConnectionResetError):
+            pass
+    with socket.create_connection(("127.0.0.1", port), 5) as bare:
+        bare.sendall(encode(m.Hello(m.VERSION, "proxy", 3, 0, "t")) + b"\n")
+        bare.settimeout(5)
+        assert b"welcome" not in bare.recv(4096)
+
+
+def shown(sock: ssl.SSLSocket) -> bytes:
+    found = sock.getpeercert(binary_form=True)
+    assert found
+    return found
+
+
+def test_a_new_certificate_holds_for_the_next_stream_and_drops_none(
+    keys: Path, store: Any, tmp_path: Path
+) -> None:
+    _, port = store
+    first = dial(port, keys, party("proxy", 3, "t"))
+    assert isinstance(greet(first, "proxy", 3), m.Welcome)
+    renewed = tmp_path / "renewed"
+    renewed.mkdir()
+    for name in ("ca.pem", "ca.key"):
+        (renewed / name).write_bytes((keys / name).read_bytes())
+    make_certificate(renewed, party("store", 0, "t"))
+    swap(renewed, tmp_path / "live", party("store", 0, "t"))
+    second = dial(port, keys, party("proxy", 3, "t"))
+    assert shown(second) != shown(first)
+    (tmp_path / "live" / "cert.pem").write_bytes(
+        b"half a certif"
+    )  # a bad one: the last good stays, and it is told
+    third = dial(port, keys, party("proxy", 3, "t"))
+    assert shown(third) == shown(second)
+    assert "certificate_unread" in (tmp_path / "store.log").read_text()
+    first.sendall(encode(m.Read()) + b"\n")
+    end = time.monotonic() + 5
+    data = b""
+    while b"read_end" not in data:
+        assert time.monotonic() < end
+        data += first.recv(4096)  # the first stream still stands
+
+
+def test_an_assigner_refuses_a_store_with_another_name(keys: Path, tmp_path: Path) -> None:
+    """The proxy's certificate is good, but it is not the store's."""
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    name = party("proxy", 3, "t")
+    context.load_cert_chain(keys / f"{name}.pem", keys / f"{name}.key")
+    listener = socket.create_server(("127.0.0.1", 0))
+    listener.settimeout(10)
+    me = party("assigner", 0, "t")
+    tls = {"ca": str(keys / "ca.pem"), "cert": str(keys / f"{me}.pem"), "key": str(keys / f"{me}.key")}
+    section = {
+        "id": "0", "listen": f"127.0.0.1:{PORTS.take()}", "store": f"127.0.0.1:{listener.getsockname()[1]}",
+        "list": f"127.0.0.1:{PORTS.take()}",
+    }  # fmt: skip
+    with process(tmp_path, "assigner", section, tls=tls):
+        sock = context.wrap_socket(listener.accept()[0], server_side=True)
+        sock.settimeout(5)
+        assert b"hello" in sock.recv(4096)
+        sock.sendall(encode(m.Welcome(m.VERSION, "store", 0)) + b"\n")
+        reply = decode(sock.recv(4096).split(b"\n")[0])
+        assert isinstance(reply, m.Refuse) and "not store-0.t.puffintide" in reply.reason
+
+
+def test_files_that_do_not_fit_are_told(keys: Path, tmp_path: Path) -> None:
+    good = [
+        str(keys / "ca.pem"),
+        str(keys / "store-0.t.puffintide.pem"),
+        str(keys / "store-0.t.puffintide.key"),
+    ]
+    Contexts(good[0], good[1], good[2])
+    (tmp_path / "bad.pem").write_text("no certificate")
+    for place, path in ((0, "bad.pem"), (1, "bad.pem"), (2, "bad.pem"), (1, "none.pem"), (2, "keys/ca.key")):
+        files = list(good)
+        files[place] = str(tmp_path / path)
+        with pytest.raises(TlsError, match=path.rpartition("/")[2]):
+            Contexts(files[0], files[1], files[2])
+    with pytest.raises(KeyFailure, match="already"):
+        make_certificate(keys, party("store", 0, "t"))
+    words = [
+        sys.executable,
+        "-m",
+        "puffintide",
+        "keys",
+        str(tmp_path / "made"),
+        "store-0",
+        "--deployment",
+        "d",
+    ]
+    assert subprocess.run(words, capture_output=True, timeout=20).returncode == 0
+    assert (tmp_path / "made" / "store-0.d.puffintide.key").stat().st_mode & 0o077 == 0
+    again = subprocess.run(words, capture_output=True, text=True, timeout=20)
+    assert again.returncode == 2 and "already" in again.stderr
