Proxy: figures of its own time, sampled log, shared port; retry storms measured

Cause: the proxy's own cost, behaviour out of files, and what ways of trying again do to a slow fleet were not seen.

Change: HDR histograms and a sampled request log, one port for several proxies, tests out of files and of sharing, a retry-storm benchmark of the engine and the stand-ins' servers in virtual time.

--- a/puffintide/cli/processes.py
+++ b/puffintide/cli/processes.py
@@ -4,6 +4,7 @@
 
 import json
 import signal
+import socket
 import sys
 import time
 from collections.abc import Callable
@@ -14,6 +15,7 @@
 from twisted.internet.protocol import connectionDone
 from twisted.internet.stdio import StandardIO
 from twisted.protocols.basic import LineOnlyReceiver
+from twisted.protocols.tls import TLSMemoryBIOFactory
 from twisted.python.failure import Failure
 
 from puffintide.config.loader import Config, load
@@ -33,9 +35,31 @@
         sys.exit(2)
 
 
-def _listen(reactor: Any, address: str, factory: Any, tls: Contexts | None = None) -> None:
+def _share(reactor: Any, host: str, port: int, factory: Any, tls: Contexts | None) -> None:
+    """One port for several processes: the system deals connections out among them."""
+    sock = socket.socket()
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind((host, port))
+        sock.listen(2000)
+        sock.setblocking(False)
+        if tls is not None:
+            factory = TLSMemoryBIOFactory(tls, False, factory)
+        reactor.adoptStreamPort(sock.fileno(), socket.AF_INET, factory)
+    except OSError as error:
+        raise CannotListenError(host, port, error) from None  # type: ignore[no-untyped-call]
+    finally:
+        sock.close()  # the reactor has its own copy
+
+
+def _listen(
+    reactor: Any, address: str, factory: Any, tls: Contexts | None = None, shared: bool = False
+) -> None:
     host, _, port = address.rpartition(":")
     try:
+        if shared:
+            _share(reactor, host, int(port), factory, tls)
+            return
         if tls is None:
             reactor.listenTCP(int(port), factory, 2000, host)
         else:
@@ -97,9 +121,9 @@
     log = setup(f"proxy-{config.proxy.id}", config.proxy.log, config.proxy.level)
     tls = _tls(config, log)
     service = ProxyService(reactor, config, config.proxy, log, tls)
-    _listen(reactor, config.proxy.listen, service.front(), tls)
+    _listen(reactor, config.proxy.listen, service.front(), tls, config.proxy.shared_port)
     if service.http is not None:
-        _listen(reactor, config.proxy.http, service.http.factory(), tls)
+        _listen(reactor, config.proxy.http, service.http.factory(), tls, config.proxy.shared_port)
     service.start()
     _run(reactor)
 
--- a/puffintide/config/schema.py
+++ b/puffintide/config/schema.py
@@ -173,6 +173,8 @@
     head_s: Positive = 5.0  # for a head to come in, and for a client to read what is written
     idle_s: Positive = 30.0  # a connection without a request is closed
     pool_most: Count = 100  # connections to one server
+    access_every: int = Field(default=0, ge=0)  # every so manieth request goes to the log; 0: none
+    shared_port: bool = False  # several proxies, each with its own id, take clients from one port
 
     @model_validator(mode="after")
     def _loopback(self) -> ProxyProcess:
--- a/puffintide/proxy/service.py
+++ b/puffintide/proxy/service.py
@@ -12,6 +12,7 @@
 from puffintide.proxy.choice import slice_of
 from puffintide.proxy.engine import Cancel, Close, Connect, Effect, Engine, Finish, Limits, Send
 from puffintide.proxy.http import HttpProxy
+from puffintide.proxy.meter import Meter
 from puffintide.proxy.state import StateError, load_state, save_state
 from puffintide.proxy.tries import Kind
 from puffintide.tls.context import Contexts
@@ -61,6 +62,7 @@
         self.draw = random.Random(f"proxy:{me.id}").random
         self.engine = Engine(limits(config, me), self.draw)
         self.counts: dict[str, int] = {}
+        self.meter = Meter(me.access_every)
         self.http: HttpProxy | None = None
         if me.http:
             other = Engine(limits(config, me), self.draw, like=self.engine)
@@ -107,7 +109,9 @@
 
     def _stats(self) -> None:
         late = self.engine.late_answers
-        self.log.info("stats", late_answers=late, dropped_lines=self.engine.tables.dropped, **self.counts)
+        dropped = self.engine.tables.dropped
+        figures = self.counts | self.meter.figures()
+        self.log.info("stats", late_answers=late, dropped_lines=dropped, **figures)
         self.reactor.callLater(STATS_S, self._stats)
 
     def now(self) -> float:
@@ -210,6 +214,7 @@
         self.asks[ref] = (stream, ask.id)
         self.works[ref] = (ask.key, ask.work_s)
         number = slice_of(ask.key, self.slices)
+        self.meter.came(self.now(), ref)
         self._do(self.engine.asked(self.now(), ref, ask.id, number, ask.request_class, ask.left_s))
 
     def _client_lost(self, stream: Stream, why: AnyMessage) -> None:
@@ -217,6 +222,7 @@
         for ref in [ref for ref, (client, _) in self.asks.items() if client is stream]:
             del self.asks[ref]
             self.works.pop(ref, None)
+            self.meter.ended(self.now(), ref)
             self._do(self.engine.gave_up(self.now(), ref))
 
     # Effects --------------------------------------------------------------------------------------
@@ -242,8 +248,13 @@
         key, work_s = self.works.get(e.ref, (0, 0.0))
         made = m.Try(e.key, e.request, self.me.id, e.slice, e.request_class, key, e.number, e.left_s, work_s)
         self.streams[e.server].send(made)
+        if e.number == 0:
+            self.meter.went(self.now(), e.ref)
 
     def _finish(self, ref: Any, status: int, again_s: float, ran: bool) -> None:
+        took = self.meter.ended(self.now(), ref)
+        if took is not None:
+            self.log.info("request", ref=ref, status=status, took_ms=round(took * 1000, 2), ran=ran)
         found = self.asks.pop(ref, None)
         self.works.pop(ref, None)
         if found is not None:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -454,3 +454,15 @@
         picker.pick()
     assert len(seen) < 200 * 30
     assert np.isfinite(picker._now)
+
+
+def test_a_retry_storm_never_passes_what_was_ordered() -> None:
+    """A fleet suddenly twice as slow at 90% load: tries stay within the way ordered."""
+    from benchmarks.retry_storm import World
+
+    for way, most in ((0, 1.0), (1, 2.0), (2, 2.0), (3, 3.0)):
+        world = World(way, 0.9, 1)
+        world.run()
+        assert world.first <= world.asked
+        assert world.tries / world.first <= most and (way == 0) == (world.tries == world.first)
+        assert world.once_again == 0 and not world.engine.requests
--- a/tests/test_proxy_service.py
+++ b/tests/test_proxy_service.py
@@ -188,3 +188,40 @@
         assert sum(isinstance(x, m.Refuse) for x in met) >= 10
         good.send(m.Ask(1, 0, 5, 1.0))
         assert reply(good, 1).status == m.FULL  # no table yet: refused at once after the hold
+
+
+def test_out_of_files_it_serves_those_it_has_and_recovers(setting: Setting) -> None:
+    import resource
+
+    with setting.running() as running:
+        _, store = setting.steer()
+        store.send(setting.charge(0))
+        first = setting.client()
+        used = len(list(Path(f"/proc/{running.pid}/fd").iterdir()))
+        resource.prlimit(running.pid, resource.RLIMIT_NOFILE, (used + 6, 4096))
+        crowd = [socket.create_connection(("127.0.0.1", setting.port), 5) for _ in range(40)]
+        time.sleep(0.5)
+        assert running.poll() is None
+        for sock in crowd:
+            sock.close()
+        resource.prlimit(running.pid, resource.RLIMIT_NOFILE, (used + 40, 4096))
+        first.send(m.Ask(1, 0, 5, 3.0))
+        server = setting.servers[0].accept("server")
+        tried = server.until(lambda x: isinstance(x, m.Try))
+        server.send(m.Answer(tried.id, m.OK))
+        assert reply(first, 1).status == m.OK
+        assert setting.client()
+
+
+def test_several_proxies_share_one_port(setting: Setting, tmp_path: Path) -> None:
+    other = Setting(tmp_path)
+    other.port = setting.port
+    (tmp_path / "b").mkdir()
+    other.tmp = tmp_path / "b"
+    with setting.running(shared_port="yes"), other.running(shared_port="yes", id="4"):
+        who = set()
+        for _ in range(60):
+            line = dial(setting.port, m.Hello(m.VERSION, "client", 0))
+            who.add(line.until(lambda x: isinstance(x, m.Welcome)).id)
+            line.close()
+        assert who == {3, 4}
