--- a/puffintide/cli/processes.py
+++ b/puffintide/cli/processes.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import connectionDone
@@ -44,7 +44,7 @@
         sock.listen(2000)
         sock.setblocking(False)
         if tls is not None:
-            factory = TLSMemoryBIOFactory(tls, False, factory)
+            factory = TLSMemoryBIOFactory(cast(Any, tls), False, factory)
         reactor.adoptStreamPort(sock.fileno(), socket.AF_INET, factory)
     except OSError as error:
         raise CannotListenError(host, port, error) from None  # type: ignore[no-untyped-call]
