--- a/puffintide/cli/processes.py
+++ b/puffintide/cli/processes.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import signal
 import socket
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any, cast
 
@@ -149,6 +150,16 @@
     StandardIO(hand, reactor=reactor)  # type: ignore[no-untyped-call]
 
 
+@contextlib.contextmanager
+def _told() -> Iterator[None]:
+    """A port that is taken is told in one line."""
+    try:
+        yield
+    except CannotListenError as error:
+        print(f"puffintide: can't listen on {error.interface}:{error.port}: {error.socketError}", file=sys.stderr)
+        sys.exit(2)
+
+
 def _day(out: Path) -> tuple[Config, Any]:
     from puffintide.days.place import Place
 
@@ -163,7 +174,8 @@
     addresses = [place.tapped(f"try:{k}") for k in range(len(place.servers))]
     with (out / "fleet.jsonl").open("w", encoding="utf-8") as record:
         service = FleetService(reactor, config, place.servers, addresses, record)
-        service.begin(place.news)
+        with _told():
+            service.begin(place.news)
         _obey(reactor, _Hand(reactor, service.control))
         _run(reactor)
 
@@ -176,7 +188,8 @@
     assert config.day is not None
     with (out / "tap.jsonl").open("wb", buffering=1 << 16) as sink:
         tap = Tap(reactor, place.links, config.net.model_dump(), config.day.seed, sink)
-        tap.listen()
+        with _told():
+            tap.listen()
 
         def order(what: str, args: dict[str, Any]) -> None:
             name = str(args.pop("name"))
--- a/puffintide/days/runner.py
+++ b/puffintide/days/runner.py
@@ -153,7 +153,7 @@
             if old.suffix in (".log", ".jsonl", ".ini", ".json"):
                 old.unlink()
         (self.out / "day.ini").write_text(self.source, encoding="utf-8")
-        self.place = lay(self.config, os.getpid() * 37 + self.port_start)
+        self.place = lay(self.config, os.getpid() * 7919 + self.port_start)
         self.place.save(self.out / "place.json")
         self._write_configs(self.place)
         try:
