--- a/benchmarks/proxy_cost.py
+++ b/benchmarks/proxy_cost.py
@@ -3,9 +3,10 @@
     python -m benchmarks.proxy_cost [--requests 100000] [--rounds 3] [--table FILE] [--plot FILE]
 
 One run measures all three side by side, round after round, and gives medians; only ratios within a run count on
-a shared machine. First the throughput with 64 requests under way, then latency at fixed open-loop rates (the time
-of a request runs from when it was due, so that a slow answer hides nothing). Servers answer at once. The choice
-check counts what each server got over all requests beside the published weights.
+a shared machine. First the throughput with 64 requests under way, on as many connections and on one (where a relay
+moves many requests at a stroke), then latency at fixed open-loop rates (the time of a request runs from when it was
+due, so that a slow answer hides nothing). Servers answer at once. The choice check counts what each server got over
+all requests beside the published weights.
 """
 
 from __future__ import annotations
@@ -99,8 +100,9 @@
     made.run()
 
 
-def drive(port: int, way: str, count: int, rate: float) -> None:
-    """The client: `count` requests, WINDOW under way if rate is 0, else at that many a second. Prints a result."""
+def drive(port: int, way: str, count: int, rate: float, streams: int) -> None:
+    """The client: `count` requests over so many connections, WINDOW under way in all if rate is 0, else at that
+    many a second. Prints a result."""
     from twisted.internet import reactor
     from twisted.internet.protocol import ClientFactory, Protocol
 
@@ -123,6 +125,7 @@
         def connectionMade(self) -> None:
             self.transport.setTcpNoDelay(True)
             self.rest = b""
+            self.out = 0
             self.transport.write(encode(m.Hello(m.VERSION, "client", 0)) + b"\n")
 
         def dataReceived(self, data: bytes) -> None:
@@ -130,8 +133,8 @@
             now = time.monotonic()
             for answer in lines:
                 if answer.startswith(b'{"t":"welcome"'):
-                    work["began"] = now
-                    self.more(WINDOW) if not rate else self.tick()
+                    work["began"] = work["began"] or now
+                    self.more(WINDOW // streams) if not rate else self.tick()
                     continue
                 if b'"id":' not in answer:
                     if answer.startswith(b'{"t":"ping"'):
@@ -142,16 +145,18 @@
                 work["bad"] += b'"status":0' not in answer
                 histogram.record_value(max(1, int((now - due.pop(number)) * 1e6)))
                 work["done"] += 1
+                self.out -= 1
             if work["done"] >= count:
                 self.finish()
             elif not rate:
-                self.more(work["done"] + WINDOW - work["sent"])
+                self.more(WINDOW // streams - self.out)
 
         def more(self, number: int) -> None:
             now = time.monotonic()
             out = []
             for _ in range(min(number, count - work["sent"])):
                 work["sent"] += 1
+                self.out += 1
                 due[work["sent"]] = now
                 out.append(line(work["sent"]))
             self.transport.write(b"".join(out))
@@ -161,6 +166,7 @@
             while work["sent"] < count and work["began"] + work["sent"] / rate <= now:
                 due[work["sent"] + 1] = work["began"] + work["sent"] / rate
                 work["sent"] += 1
+                self.out += 1
                 self.transport.write(line(work["sent"]))
             if work["sent"] < count:
                 made.callLater(max(0.0, work["began"] + work["sent"] / rate - time.monotonic()), self.tick)
@@ -176,7 +182,8 @@
         protocol = Client
         noisy = False
 
-    made.connectTCP("127.0.0.1", port, Clients())
+    for _ in range(streams):
+        made.connectTCP("127.0.0.1", port, Clients())
     made.callLater(120, made.stop)
     made.run()
 
@@ -192,8 +199,14 @@
     return started
 
 
-def _drive(port: int, way: str, count: int, rate: float) -> dict[str, float]:
-    words = [sys.executable, "-m", "benchmarks.proxy_cost", "--drive", f"{port},{way},{count},{rate}"]
+def _drive(port: int, way: str, count: int, rate: float, streams: int = 1) -> dict[str, float]:
+    words = [
+        sys.executable,
+        "-m",
+        "benchmarks.proxy_cost",
+        "--drive",
+        f"{port},{way},{count},{rate},{streams}",
+    ]
     done = subprocess.run(words, capture_output=True, text=True, timeout=150)
     row: dict[str, float] = json.loads(done.stdout)
     assert not row["bad"], f"{row['bad']} requests were not answered"
@@ -223,8 +236,8 @@
     requests: int, rounds: int, table: str, plot: str, drive_words: str, serve_words: str, relay_words: str
 ) -> None:
     if drive_words:
-        port, way, count, rate = drive_words.split(",")
-        drive(int(port), way, int(count), float(rate))
+        port, way, count, rate, streams = drive_words.split(",")
+        drive(int(port), way, int(count), float(rate), int(streams))
         return
     if serve_words:
         serve([int(p) for p in serve_words.split(",")])
@@ -276,19 +289,23 @@
 def _measure(requests: int, rounds: int, servers: list[int], ways: dict[str, int], plot: str) -> str:
     before = _counts(servers)
     full: dict[str, list[float]] = {way: [] for way in WAYS}
-    through = 0
+    single: dict[str, list[float]] = {way: [] for way in WAYS}
+    part = requests // rounds // 2
     for _ in range(rounds):
         for way in WAYS:
-            full[way].append(_drive(ways[way], way, requests // rounds, 0)["rate"])
-            through += (requests // rounds) if way == "proxy" else 0
+            full[way].append(_drive(ways[way], way, part, 0, WINDOW)["rate"])
+            single[way].append(_drive(ways[way], way, part, 0)["rate"])
+    through = 2 * part * rounds
     after = _counts(servers)
     rate = {way: statistics.median(values) for way, values in full.items()}
     got = [b - a for a, b in zip(before, after, strict=True)]
-    got[0] -= 2 * (requests // rounds) * rounds  # direct and relay went there
+    got[0] -= 4 * part * rounds  # direct and relay went there
     off = max(abs(g / (through * w / sum(WEIGHTS)) - 1) for g, w in zip(got, WEIGHTS, strict=True))
     lines = [
-        f"Throughput, {WINDOW} under way, medians: proxy {rate['proxy']:.0f}, relay {rate['relay']:.0f}, "
-        f"direct {rate['direct']:.0f} requests a second; proxy over relay {rate['proxy'] / rate['relay']:.2f}.",
+        "| throughput, requests a second | direct | relay | proxy | proxy over relay |",
+        "| --- | --- | --- | --- | --- |",
+        _rates(f"one under way on each of {WINDOW} connections", rate),
+        _rates(f"{WINDOW} under way on one connection", {w: statistics.median(v) for w, v in single.items()}),
         "",
         f"Choices of the proxy over {through} requests: at most {off:.2%} off the weights {WEIGHTS}.",
         "",
@@ -311,6 +328,11 @@
     return "\n".join(lines)
 
 
+def _rates(name: str, rate: dict[str, float]) -> str:
+    shown = " | ".join(f"{rate[way]:.0f}" for way in WAYS)
+    return f"| {name} | {shown} | {rate['proxy'] / rate['relay']:.2f} |"
+
+
 def _plot(series: dict[str, list[tuple[float, float]]], path: str) -> None:
     import matplotlib
 
--- a/puffintide/cli/processes.py
+++ b/puffintide/cli/processes.py
@@ -156,7 +156,10 @@
     try:
         yield
     except CannotListenError as error:
-        print(f"puffintide: can't listen on {error.interface}:{error.port}: {error.socketError}", file=sys.stderr)
+        print(
+            f"puffintide: can't listen on {error.interface}:{error.port}: {error.socketError}",
+            file=sys.stderr,
+        )
         sys.exit(2)
 
 
--- a/puffintide/proxy/http.py
+++ b/puffintide/proxy/http.py
@@ -582,6 +582,8 @@
     def _arm(self) -> None:
         due = self.engine.next_due()
         if self.timer is not None and self.timer.active():
+            if due is None or self.timer.getTime() <= due:
+                return
             self.timer.cancel()
         self.timer = None
         if due is not None:
--- a/puffintide/proxy/meter.py
+++ b/puffintide/proxy/meter.py
@@ -7,10 +7,11 @@
 from hdrh.histogram import HdrHistogram
 
 LONGEST_US = 60_000_000
+EVERY = 8  # requests of which one is timed: timing all would cost a twentieth of the proxy
 
 
 class Meter:
-    """Times in seconds in, microseconds at percentiles out."""
+    """Times in seconds in, microseconds at percentiles out. Every eighth request is timed."""
 
     def __init__(self, sample_every: int) -> None:
         self.sample_every = sample_every  # 0: no sample
@@ -18,9 +19,12 @@
         self.whole = HdrHistogram(1, LONGEST_US, 3)  # from its coming to its final answer
         self._begun: dict[Any, float] = {}
         self._seen = 0
+        self._logged = 0
 
     def came(self, now: float, ref: Any) -> None:
-        self._begun[ref] = now
+        self._seen += 1
+        if self._seen % EVERY == 0 or self.sample_every == 1:
+            self._begun[ref] = now
 
     def went(self, now: float, ref: Any) -> None:
         begun = self._begun.get(ref)
@@ -33,9 +37,9 @@
         if begun is None:
             return None
         self.whole.record_value(min(LONGEST_US, max(1, int((now - begun) * 1e6))))
-        self._seen += 1
-        sampled = self.sample_every and self._seen % self.sample_every == 0
-        return now - begun if sampled else None
+        self._logged += 1
+        every = max(1, self.sample_every // EVERY)
+        return now - begun if self.sample_every and self._logged % every == 0 else None
 
     def figures(self) -> dict[str, int]:
         """Microseconds since the start of the process."""
--- a/puffintide/proxy/service.py
+++ b/puffintide/proxy/service.py
@@ -295,8 +295,8 @@
     def _arm(self) -> None:
         due = self.engine.next_due()
         if self.timer is not None and self.timer.active():
-            if due is not None and abs(self.timer.getTime() - due) < 1e-4:
-                return
+            if due is None or self.timer.getTime() <= due:
+                return  # it looks again when it fires: cheaper than a new timer a request
             self.timer.cancel()
         self.timer = None
         if due is not None:
--- a/puffintide/proxy/tables.py
+++ b/puffintide/proxy/tables.py
@@ -146,14 +146,20 @@
 
     def level(self, number: int, request_class: int) -> float:
         """The lower of the slice's own level and the one for all; 1 where none is set."""
+        if not self.levels:
+            return 1.0
         found = (self._own(number, request_class), self._every(number, request_class))
         return min((x.level for x in found if x is not None), default=1.0)
 
     def limited(self, number: int, request_class: int) -> bool:
-        return bool(self._own(number, request_class) or self._every(number, request_class))
+        return bool(self.levels) and bool(
+            self._own(number, request_class) or self._every(number, request_class)
+        )
 
     def retry(self, number: int, request_class: int) -> int:
         """The way of trying again: the slice's own, else the one for all, else the deployment's."""
+        if not self.levels:
+            return self.retry_default
         found = self._own(number, request_class) or self._every(number, request_class)
         return self.retry_default if found is None else found.retry
 
