A proxy that joins an assigner reads the store, and an old reading undoes no order

Change: a reading at each greeting and one reread_s later; the store tells the batch of its last write, so that an older reading is dropped.

--- a/puffintide/config/schema.py
+++ b/puffintide/config/schema.py
@@ -113,6 +113,7 @@
 class StoreSection(Section):
     takeover_s: Positive = 2.5
     write_lease_s: Positive = 1.5
+    reread_s: Positive = 1.0  # a proxy that joins reads the store at once, and again so long after
 
 
 class ClassSection(Section):
--- a/puffintide/proxy/service.py
+++ b/puffintide/proxy/service.py
@@ -78,6 +78,8 @@
         self.next_ref = 0
         self.asks: dict[int, tuple[Stream, int]] = {}  # reference: client and its own number
         self.met: set[int] = set()
+        self.store: Stream | None = None
+        self.reread: Any = None
         self.timer: Any = None
         self.saved_version = 0
         self.diallers = [
@@ -87,7 +89,9 @@
             for k, a in enumerate(me.assigners)
         ]
         self.diallers.append(
-            Dialler(reactor, me.store, self._hello(-1), self._from_store, None, self.draw, tls=tls)
+            Dialler(
+                reactor, me.store, self._hello(-1), self._from_store, self._store_lost, self.draw, tls=tls
+            )
         )
 
     def start(self) -> None:
@@ -132,6 +136,7 @@
             match message:
                 case m.Welcome():
                     self.assigners[number] = stream
+                    self._read_store()
                 case m.Order():
                     self._do(self.engine.order(self.now(), number, message))
                     if self.http is not None:
@@ -151,10 +156,26 @@
 
         return lost
 
+    def _read_store(self) -> None:
+        """Orders of the time without a stream are lost to us. They are in the store, or on their way to it: so a
+        second reading follows the first."""
+        if self.store is not None:
+            self.store.send(m.Read())
+        if self.reread is None or not self.reread.active():
+            self.reread = self.reactor.callLater(self.config.charge.reread_s, self._read_again)
+
+    def _read_again(self) -> None:
+        if self.store is not None:
+            self.store.send(m.Read())
+
+    def _store_lost(self, why: str) -> None:
+        self.store = None
+
     def _from_store(self, stream: Stream, message: AnyMessage) -> None:
         match message:
             case m.Welcome():
-                stream.send(m.Read())
+                self.store = stream
+                self._read_store()
             case m.Charges():
                 self._do(self.engine.charges(self.now(), message.charges))
                 if self.http is not None:
--- a/puffintide/proxy/tables.py
+++ b/puffintide/proxy/tables.py
@@ -32,6 +32,7 @@
 class Table:
     assigner: int = -1
     token: int = 0
+    batch: int = 0  # of the last order under this token
     lines: dict[int, float] = field(default_factory=dict)
     pickers: dict[bool, Picker] = field(default_factory=dict)  # by whether only the own zone serves
     stale: bool = True  # the pickers' weights are to be set anew
@@ -63,11 +64,11 @@
 
     def charge(self, charge: Charge) -> None:
         table = self.tables.get(charge.slice)
-        if table is None or charge.token < table.token:
-            return
+        if table is None or (charge.token, charge.batch) < (table.token, table.batch):
+            return  # read before our last order had been written
         if charge.token != table.token:
             self.levels.pop((table.assigner, charge.slice), None)
-        table.assigner, table.token = charge.assigner, charge.token
+        table.assigner, table.token, table.batch = charge.assigner, charge.token, charge.batch
         table.lines = {h.server: h.weight for h in charge.lines if h.weight > 0}
         table.stale = True
         for held in charge.lines:
@@ -86,6 +87,7 @@
             if table is not None and table.assigner == assigner:
                 table.lines.clear()
                 table.stale = True
+                table.batch = order.batch
                 self.levels.pop((assigner, number), None)
         for line in order.lines:
             table = self.tables.get(line.table)
@@ -94,6 +96,7 @@
                 continue
             if line.token > table.token:
                 table.assigner, table.token = assigner, line.token
+            table.batch = order.batch
             self._place(line.server, line.address, line.zone)
             if line.weight > 0:
                 table.lines[line.server] = line.weight
@@ -178,7 +181,7 @@
                 Held(s, w, self.addresses.get(s, ""), self.zones.get(s, -1))
                 for s, w in sorted(table.lines.items())
             ]
-            charges.append(Charge(number, table.token, table.assigner, held))
+            charges.append(Charge(number, table.token, table.assigner, held, table.batch))
         levels: dict[int, list[tuple[int, Level]]] = {}
         for (assigner, number), by_class in sorted(self.levels.items()):
             for k, level in sorted(by_class.items()):
--- a/puffintide/store/book.py
+++ b/puffintide/store/book.py
@@ -18,6 +18,7 @@
 class SliceRecord:
     assigner: int = -1
     token: int = 0
+    batch: int = 0  # of the last write under this token
     lines: dict[int, Held] = field(default_factory=dict)
 
 
@@ -85,24 +86,29 @@
         record = self.slices[number]
         self.token += 1
         old, record.assigner, record.token = record.assigner, assigner, self.token
+        record.batch = 0
         return Change(number, old, assigner)
 
     def charge(self, number: int) -> Charge:
         record = self.slices[number]
-        return Charge(number, record.token, record.assigner, [record.lines[s] for s in sorted(record.lines)])
+        lines = [record.lines[s] for s in sorted(record.lines)]
+        return Charge(number, record.token, record.assigner, lines, record.batch)
 
     def load(self, tables: Mapping[int, Sequence[Held]]) -> None:
         """Tables to start with."""
         for number, lines in tables.items():
             self.slices[number].lines = {h.server: h for h in lines}
 
-    def write(self, assigner: int, lines: Sequence[Line], clear: Sequence[int]) -> dict[int, str]:
+    def write(
+        self, assigner: int, lines: Sequence[Line], clear: Sequence[int], batch: int = 0
+    ) -> dict[int, str]:
         """Takes lines whose writer has charge; gives the reason for each slice refused."""
         refused: dict[int, str] = {}
         for number in clear:
             record = self.slices.get(number)
             if record is not None and record.assigner == assigner:
                 record.lines.clear()
+                record.batch = max(record.batch, batch)
             else:
                 refused[number] = "not in this assigner's charge"
         for line in lines:
@@ -114,10 +120,12 @@
             elif line.token != record.token:
                 refused[line.table] = f"token {line.token} is not the present {record.token}"
             elif line.weight <= 0:
+                record.batch = max(record.batch, batch)
                 record.lines.pop(line.server, None)
             elif line.server not in record.lines and len(record.lines) >= self.lines_most:
                 refused[line.table] = f"a table holds {self.lines_most} lines at most"
             else:
+                record.batch = max(record.batch, batch)
                 if self.single_writer:
                     record.lines.clear()
                 record.lines[line.server] = Held(line.server, line.weight, line.address, line.zone)
--- a/puffintide/store/service.py
+++ b/puffintide/store/service.py
@@ -64,7 +64,7 @@
                     stream.send_line(line)
                 stream.send(ReadEnd(len(self.book.slices)))
             case Write() if stream.tag and stream.tag[0] == "assigner":
-                refused = self.book.write(stream.tag[1], message.lines, message.clear)
+                refused = self.book.write(stream.tag[1], message.lines, message.clear, message.batch)
                 for number, reason in sorted(refused.items()):
                     stream.send(Refused(message.batch, number, reason))
                     self.log.warning("write_refused", assigner=stream.tag[1], slice=number, reason=reason)
--- a/puffintide/wire/messages.py
+++ b/puffintide/wire/messages.py
@@ -143,6 +143,7 @@
     token: int  # rises with each change of charge; a write with an older one is refused
     assigner: int  # -1: nobody
     lines: list[Held] = []
+    batch: int = 0  # of the last write under this token; a proxy that has a later order keeps its lines
 
 
 class Charges(Message, tag="charges", frozen=True):
--- a/tests/test_proxy_service.py
+++ b/tests/test_proxy_service.py
@@ -225,3 +225,36 @@
             who.add(line.until(lambda x: isinstance(x, m.Welcome)).id)
             line.close()
         assert who == {3, 4}
+
+
+def test_a_proxy_that_joins_again_reads_what_it_missed_and_an_old_reading_undoes_no_order(
+    setting: Setting,
+) -> None:
+    with setting.running():
+        assigner, store = setting.steer()
+        held = [m.Held(0, 1.0, f"127.0.0.1:{setting.servers[0].port}")]
+        store.send(m.Charges([m.Charge(0, 1, 0, held, 4)]))
+        assigner.send(m.Order(5, 0.0, 5.0, [m.Line(0, 1, 1.0, 1, f"127.0.0.1:{setting.servers[1].port}"),
+                                            m.Line(0, 0, 0.0, 1)], mark=1))  # fmt: skip
+        assigner.until(lambda x: isinstance(x, m.Applied))
+        store.send(m.Charges([m.Charge(0, 1, 0, held, 4)]))  # read before the order had been written
+        client = setting.client()
+        client.send(m.Ask(1, 0, 5, 3.0))
+        server = setting.servers[1].accept("server")
+        tried = server.until(lambda x: isinstance(x, m.Try))
+        server.send(m.Answer(tried.id, m.OK))
+        assert reply(client, 1).status == m.OK
+        time.sleep(1.1)
+        while True:  # readings of the start
+            try:
+                store.read(0.2)
+            except TimeoutError:
+                break
+        assigner.close()
+        setting.order.accept("assigner")
+        for _ in (1, 2):  # at once, and again for what was still on its way
+            assert store.until(lambda x: isinstance(x, m.Read))
+        store.send(m.Charges([m.Charge(0, 1, 0, held, 6)]))  # moved back while it was away
+        client.send(m.Ask(2, 0, 5, 3.0))
+        tried = setting.servers[0].accept("server").until(lambda x: isinstance(x, m.Try))
+        assert tried.request == 2
