--- a/puffintide/days/runner.py
+++ b/puffintide/days/runner.py
@@ -229,6 +229,8 @@
     def _watch(self) -> None:
         for name, running in self.running.items():
             code = running.process.poll()
+            if name == "clients" and code == 0:
+                continue  # all was answered before the day's last second
             if code is not None and not (name.startswith("assigner") and code == -signal.SIGKILL):
                 raise DayError(f"{name} ended by itself with code {code}; see its log in {self.out}")
 
--- a/puffintide/proxy/engine.py
+++ b/puffintide/proxy/engine.py
@@ -120,18 +120,18 @@
 
     def __init__(self, limits: Limits, draw: Callable[[], float], like: Engine | None = None) -> None:
         self.limits = limits
-        self.tables: Tables
-        self.gate: Gate
-        self.counter: Counter
-        self.tables = (
-            like.tables
-            if like
-            else Tables(
-                limits.slices, limits.retry_default, limits.pick, draw, limits.zone, lambda s: self.out_at(s)
-            )
+        own = Tables(
+            limits.slices,
+            limits.retry_default,
+            limits.pick,
+            draw,
+            limits.zone,
+            lambda s: self.out_at(s),
+            limits.single_writer,
         )
-        self.gate = like.gate if like else Gate(limits.admit)
-        self.counter = like.counter if like else Counter()
+        self.tables: Tables = like.tables if like is not None else own
+        self.gate: Gate = like.gate if like is not None else Gate(limits.admit)
+        self.counter: Counter = like.counter if like is not None else Counter()
         self.servers: dict[int, _Server] = {}
         self.requests: dict[int, _Request] = {}
         self.held: dict[int, None] = {}
--- a/puffintide/proxy/tables.py
+++ b/puffintide/proxy/tables.py
@@ -50,7 +50,9 @@
         draw: Callable[[], float],
         zone: int = 0,
         busy: Callable[[int], int] = lambda server: 0,
+        single_writer: bool = False,
     ) -> None:
+        self.single_writer = single_writer  # a table has one line, and a new one takes its place
         self.retry_default, self.how, self.draw, self.zone, self.busy = retry_default, pick, draw, zone, busy
         self.tables = {number: Table() for number in range(slices)}
         self.addresses: dict[int, str] = {}
@@ -98,6 +100,8 @@
                 table.assigner, table.token = assigner, line.token
             table.batch = order.batch
             self._place(line.server, line.address, line.zone)
+            if self.single_writer and line.weight > 0:
+                table.lines.clear()
             if line.weight > 0:
                 table.lines[line.server] = line.weight
             else:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -466,3 +466,10 @@
         assert world.first <= world.asked
         assert world.tries / world.first <= most and (way == 0) == (world.tries == world.first)
         assert world.once_again == 0 and not world.engine.requests
+
+
+def test_where_a_slice_has_one_writer_a_new_line_takes_the_old_ones_place() -> None:
+    e = engine(servers=1, single_writer=True)
+    e.order(1.0, 0, m.Order(1, 0.0, 1.0, lines=[m.Line(0, 5, 1.0, 1, "127.0.0.1:5")]))
+    assert e.tables.open(0) == {5: 1.0}
+    assert {start(e, 1.2, ref=k).server for k in range(5)} == {5}
