--- a/puffintide/assigner/cache.py
+++ b/puffintide/assigner/cache.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import os
 from pathlib import Path
 
 import msgspec
 
+from puffintide.files import swap
 from puffintide.wire.messages import News
 
 
@@ -24,13 +24,8 @@
 
 
 def save_list(path: str, wall: float, news: News) -> None:
-    """Writes beside, syncs, renames. Raises OSError."""
-    beside = f"{path}.{os.getpid()}.new"
-    with open(beside, "wb") as file:
-        file.write(msgspec.json.encode(Saved(FORMAT, wall, news)))
-        file.flush()
-        os.fsync(file.fileno())
-    os.replace(beside, path)
+    """Raises OSError."""
+    swap(path, msgspec.json.encode(Saved(FORMAT, wall, news)))
 
 
 def load_list(path: str, wall: float) -> News:
--- a/puffintide/proxy/state.py
+++ b/puffintide/proxy/state.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import os
 from pathlib import Path
 
 import msgspec
 
+from puffintide.files import swap
 from puffintide.proxy.tables import FORMAT, Saved
 
 
@@ -15,13 +15,8 @@
 
 
 def save_state(path: str, saved: Saved) -> None:
-    """Writes beside, syncs, renames. Raises OSError."""
-    beside = f"{path}.{os.getpid()}.new"
-    with open(beside, "wb") as file:
-        file.write(msgspec.json.encode(saved))
-        file.flush()
-        os.fsync(file.fileno())
-    os.replace(beside, path)
+    """Raises OSError."""
+    swap(path, msgspec.json.encode(saved))
 
 
 def load_state(path: str) -> Saved:
