--- a/benchmarks/retry_storm.py
+++ b/benchmarks/retry_storm.py
@@ -47,7 +47,7 @@
         self.number = 0
         self.first = self.tries = self.good = self.asked = self.once_again = 0
         self.seen: dict[Any, int] = {}
-        self.kinds: dict[int, int] = {}
+        self.armed: dict[int, float] = {}  # when each server is looked at next
 
     def later(self, at: float, what: str, which: int) -> None:
         self.number += 1
@@ -75,8 +75,9 @@
 
     def arm(self, server: int) -> None:
         due = self.servers[server].next_due()
-        if due is not None:
-            self.later(max(due, self.now + 1e-6), "work", server)
+        if due is not None and due < self.armed.get(server, float("inf")):
+            self.armed[server] = max(due, self.now + 1e-6)
+            self.later(self.armed[server], "work", server)
 
     def run(self) -> None:
         at = 0.0
@@ -97,6 +98,8 @@
                 kind = 1 if which % 5 == 0 else 0
                 self.do(self.engine.asked(self.now, which, which, which % SLICES, kind, 1.5))
             elif what == "work":
+                if self.armed.get(which) == self.now:
+                    del self.armed[which]
                 for key in self.servers[which].due(self.now):
                     self.do(self.engine.answered(self.now, which, key, m.OK, []))
                 self.arm(which)
