--- a/puffintide/cli/main.py
+++ b/puffintide/cli/main.py
@@ -302,7 +302,8 @@
     )
     for rule in RULES:
         broken = sum(f.rule == rule for f in judgement.findings)
-        word = f"BROKEN {broken}x" if broken else "unknown" if verdict.gaps else "kept"
+        kept = "kept" if judgement.checked[rule] else "no case"
+        word = f"BROKEN {broken}x" if broken else "unknown" if verdict.gaps else kept
         table.add_row(rule, word, str(judgement.checked[rule]), f"{judgement.nearest[rule]:.0%}")
     out_console.print(table)
     table = Table("class", "worth served", "p50 s", "p99 s", title="Service, as clients saw it (stand-ins)")
