--- a/benchmarks/proxy_cost.py
+++ b/benchmarks/proxy_cost.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import configparser
+import contextlib
 import json
 import os
 import statistics
@@ -19,6 +20,8 @@
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
@@ -35,6 +38,8 @@
 SLICES = 16
 WINDOW = 64
 WAYS = ("direct", "relay", "proxy")
+SCALES = (1, 2, 3, 4)  # processes on one port
+DRIVERS = 3
 
 
 # Child processes ---------------------------------------------------------------------------------------------
@@ -75,14 +80,29 @@
         count = 0
         streams = 0
 
-    return Servers
+    class Http(Server):
+        """Answers each head at once, a body with its request; a peer that begins with "{" speaks lines."""
 
+        def dataReceived(self, data: bytes) -> None:
+            if (self.rest or data)[:1] == b"{":
+                super().dataReceived(data)
+                return
+            *heads, self.rest = (self.rest + data).split(b"\r\n\r\n")
+            self.transport.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n" * len(heads))
+
+    class HttpServers(Servers):
+        protocol = Http
+
+    return Servers, HttpServers
 
-def serve(ports: list[int]) -> None:
+
+def serve(ports: list[int], http: list[int]) -> None:
     from twisted.internet import reactor
 
     made: Any = reactor
-    servers = _protocols()
+    servers, others = _protocols()
+    for port in http:
+        made.listenTCP(port, others(), 500, "127.0.0.1")
     for port in ports:
         made.listenTCP(port, servers(), 500, "127.0.0.1")
     print("ready", flush=True)
@@ -126,9 +146,27 @@
             self.transport.setTcpNoDelay(True)
             self.rest = b""
             self.out = 0
-            self.transport.write(encode(m.Hello(m.VERSION, "client", 0)) + b"\n")
+            if way == "http":
+                work["began"] = work["began"] or time.monotonic()
+                self.http()
+            else:
+                self.transport.write(encode(m.Hello(m.VERSION, "client", 0)) + b"\n")
+
+        def http(self) -> None:
+            work["sent"] += 1
+            due[id(self)] = time.monotonic()
+            self.transport.write(b"GET /%d HTTP/1.1\r\nhost: x\r\n\r\n" % work["sent"])
 
         def dataReceived(self, data: bytes) -> None:
+            if way == "http":
+                self.rest += data
+                if b"\r\n\r\n" in self.rest:
+                    work["bad"] += not self.rest.startswith(b"HTTP/1.1 200 ")
+                    self.rest = b""
+                    histogram.record_value(max(1, int((time.monotonic() - due.pop(id(self))) * 1e6)))
+                    work["done"] += 1
+                    self.finish() if work["done"] >= count else self.http()
+                return
             *lines, self.rest = (self.rest + data).split(b"\n")
             now = time.monotonic()
             for answer in lines:
@@ -172,6 +210,9 @@
                 made.callLater(max(0.0, work["began"] + work["sent"] / rate - time.monotonic()), self.tick)
 
         def finish(self) -> None:
+            if not work["began"] or work.get("over"):
+                return
+            work["over"] = 1
             took = time.monotonic() - work["began"]
             row = {"rate": count / took, "bad": work["bad"]}
             row |= {f"p{q}": histogram.get_value_at_percentile(q) for q in (50, 99, 99.9)}
@@ -240,7 +281,8 @@
         drive(int(port), way, int(count), float(rate), int(streams))
         return
     if serve_words:
-        serve([int(p) for p in serve_words.split(",")])
+        words = serve_words.partition(":")
+        serve([int(p) for p in words[0].split(",") if p], [int(p) for p in words[2].split(",") if p])
         return
     if relay_words:
         front, target = relay_words.split(",")
@@ -248,17 +290,36 @@
         return
     ports = Ports(os.getpid() * 41)
     servers = [ports.take() for _ in WEIGHTS]
-    relay_port, proxy_port, nobody = ports.take(), ports.take(), ports.take()
+    others = [ports.take() for _ in WEIGHTS]
+    relay_port, http_relay, nobody = ports.take(), ports.take(), ports.take()
+    proxy_port, http_port, unused = ports.take(), ports.take(), ports.take()
+    shared = [ports.take() for _ in SCALES]
     started: list[subprocess.Popen[str]] = []
-    with tempfile.TemporaryDirectory() as folder:
+    with tempfile.TemporaryDirectory() as made:
+        folder = Path(made)
         try:
             me = "benchmarks.proxy_cost"
-            started.append(_spawn(me, "--serve", ",".join(map(str, servers))))
+            for part in (servers[:2], servers[2:]):  # two processes, so that they are not what gives first
+                started.append(_spawn(me, "--serve", ",".join(map(str, part))))
+            started.append(_spawn(me, "--serve", ":" + ",".join(map(str, others))))
             started.append(_spawn(me, "--relay", f"{relay_port},{servers[0]}"))
-            config = _proxy(Path(folder), servers, proxy_port, nobody)
+            started.append(_spawn(me, "--relay", f"{http_relay},{others[0]}"))
+            config = proxy_file(folder, servers, proxy_port, nobody)
             started.append(_spawn("puffintide", "proxy", "--config", str(config)))
+            config = proxy_file(folder, others, unused, nobody, "http", http=f"127.0.0.1:{http_port}")
+            started.append(_spawn("puffintide", "proxy", "--config", str(config)))
+            for one, number in zip(shared, SCALES, strict=True):
+                for k in range(number):
+                    config = proxy_file(
+                        folder, servers, one, nobody, f"shared-{number}-{k}", id=str(k), shared_port="yes"
+                    )
+                    started.append(_spawn("puffintide", "proxy", "--config", str(config)))
             ways = {"direct": servers[0], "relay": relay_port, "proxy": proxy_port}
             text = _measure(requests, rounds, servers, ways, plot)
+            text += "\n\n" + _http(
+                requests // 4, rounds, {"direct": others[0], "relay": http_relay, "proxy": http_port}
+            )
+            text += "\n\n" + _scale(requests // 4, rounds, dict(zip(SCALES, shared, strict=True)))
         finally:
             for process in started:
                 process.kill()
@@ -268,24 +329,70 @@
         Path(table).write_text(text + "\n", encoding="utf-8")
 
 
-def _proxy(folder: Path, servers: list[int], port: int, nobody: int) -> Path:
+@contextlib.contextmanager
+def http_server(ports: list[int]) -> Iterator[None]:
+    """A process of servers that answer any HTTP request on these ports, and the program's own lines too."""
+    both = ",".join(map(str, ports))
+    running = _spawn("benchmarks.proxy_cost", "--serve", f":{both}")
+    try:
+        yield
+    finally:
+        running.kill()
+        running.wait()
+
+
+def proxy_file(
+    folder: Path, servers: list[int], port: int, nobody: int, name: str = "proxy", **more: str
+) -> Path:
     """A proxy that lives on the tables of its file, with no assigner or store there."""
-    held = [m.Held(s, w, f"127.0.0.1:{p}") for s, (w, p) in enumerate(zip(WEIGHTS, servers, strict=True))]
+    held = [m.Held(s, w, f"127.0.0.1:{p}") for s, (w, p) in enumerate(zip(WEIGHTS, servers, strict=False))]
     charges = [m.Charge(n, 1, 0, held) for n in range(SLICES)]
-    save_state(str(folder / "tables.json"), Saved(1, time.time(), charges, {}, []))
+    save_state(str(folder / f"{name}.json"), Saved(1, time.time(), charges, {}, []))
     parser = configparser.ConfigParser(interpolation=None)
     parser.read_dict({
-        "deployment": {"name": "cost", "proxies": "1", "slices": str(SLICES)},
+        "deployment": {"name": "cost", "proxies": "8", "slices": str(SLICES)},
         "class read": {"aim_s": "1", "deadline_s": "10"},
         "proxy": {"id": "0", "listen": f"127.0.0.1:{port}", "assigners": f"127.0.0.1:{nobody}",
-                  "store": f"127.0.0.1:{nobody}", "state": str(folder / "tables.json")},
+                  "store": f"127.0.0.1:{nobody}", "state": str(folder / f"{name}.json")} | more,
     })  # fmt: skip
-    path = folder / "proxy.ini"
+    path = folder / f"{name}.ini"
     with path.open("w") as file:
         parser.write(file)
     return path
 
 
+def _http(requests: int, rounds: int, ways: dict[str, int]) -> str:
+    """HTTP/1.1 on 64 kept connections, one request under way on each."""
+    rows: dict[str, list[dict[str, float]]] = {way: [] for way in WAYS}
+    for _ in range(rounds):
+        for way in WAYS:
+            rows[way].append(_drive(ways[way], "http", requests // rounds, 0, WINDOW))
+    rate = {way: statistics.median(row["rate"] for row in rows[way]) for way in WAYS}
+    p99 = {way: statistics.median(row["p99"] for row in rows[way]) / 1000 for way in WAYS}
+    return "\n".join([
+        "| HTTP/1.1, requests a second | direct | relay | proxy | proxy over relay |",
+        "| --- | --- | --- | --- | --- |",
+        _rates(f"one under way on each of {WINDOW} connections", rate),
+        f"| p99 ms at that rate | {p99['direct']:.2f} | {p99['relay']:.2f} | {p99['proxy']:.2f} | |",
+    ])  # fmt: skip
+
+
+def _scale(requests: int, rounds: int, ports: dict[int, int]) -> str:
+    """Several processes on one port, driven by three clients at once."""
+    rates: dict[int, list[float]] = {number: [] for number in ports}
+    for _ in range(rounds):
+        for number, port in ports.items():
+            with ThreadPoolExecutor(DRIVERS) as pool:
+                runs = [
+                    pool.submit(_drive, port, "proxy", requests // rounds, 0, WINDOW) for _ in range(DRIVERS)
+                ]
+                rates[number].append(sum(run.result()["rate"] for run in runs))
+    rate = {number: statistics.median(values) for number, values in rates.items()}
+    lines = ["| proxy processes on one port | requests a second | over one process |", "| --- | --- | --- |"]
+    lines += [f"| {number} | {value:.0f} | {value / rate[1]:.2f} |" for number, value in rate.items()]
+    return "\n".join(lines)
+
+
 def _measure(requests: int, rounds: int, servers: list[int], ways: dict[str, int], plot: str) -> str:
     before = _counts(servers)
     full: dict[str, list[float]] = {way: [] for way in WAYS}
--- a/puffintide/proxy/http.py
+++ b/puffintide/proxy/http.py
@@ -14,13 +14,19 @@
 from typing import Any
 
 import h11
+from twisted.internet.interfaces import IHandshakeListener
 from twisted.internet.protocol import ClientFactory, Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from puffintide.config.schema import ClassSection, ProxyProcess
 from puffintide.proxy.choice import slice_of
 from puffintide.proxy.engine import Cancel, Close, Connect, Effect, Engine, Finish, Send
+from puffintide.proxy.openings import Openings
+from puffintide.tls.context import Contexts, names
+from puffintide.tls.keys import party
 from puffintide.wire import messages as m
+from puffintide.wire.stream import hang_up
 
 HOP = {
     b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
@@ -38,6 +44,8 @@
         self.front, self.ref = front, ref
         self.method, self.target = request.method, request.target
         self.headers = [(k, v) for k, v in request.headers if k not in HOP]
+        if all(k != b"host" for k, _ in self.headers):
+            self.headers.append((b"host", b""))  # HTTP/1.0 may leave it out, 1.1 wants it though empty
         self.length = next((v for k, v in request.headers if k == b"content-length"), None)
         self.chunked = any(k == b"transfer-encoding" for k, _ in request.headers)
         self.body: list[bytes] = []
@@ -89,6 +97,7 @@
         self.paused = False
         self.gone = False
         self.reading = False
+        self.head_asked = False
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -109,12 +118,19 @@
     def _tired(self) -> None:
         """A head that does not come, a body that stops, an answer that is not read: the connection goes."""
         self.owner.count("client_slow")
-        if self.exchange is None and self.conn.their_state is h11.IDLE and self.conn.trailing_data[0]:
+        if (
+            not self.gone
+            and self.exchange is None
+            and self.conn.their_state is h11.IDLE
+            and self.conn.trailing_data[0]
+        ):
             self.refuse(408, "the head took too long")
         else:
             self.transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:
+        if self.gone:
+            return
         if self.exchange is None and self.conn.their_state is h11.IDLE:
             self._wait(self.owner.me.head_s)
         try:
@@ -150,10 +166,11 @@
                 self._wait(None)
                 self.exchange.all_in()
             elif isinstance(event, h11.ConnectionClosed):
-                self.transport.loseConnection()
+                self._close()
                 return
 
     def _request(self, request: h11.Request) -> None:
+        self.head_asked = request.method == b"HEAD"
         headers = dict(request.headers)
         if (
             sum(len(k) + len(v) + 4 for k, v in request.headers) + len(request.target)
@@ -188,11 +205,18 @@
                 (b"connection", b"close"),
                 (b"x-puffintide-ran", b"no"),
             ]
+            if self.head_asked:
+                body = b""  # the answer to HEAD is its head alone
             self._send(
                 h11.Response(status_code=status, headers=headers), h11.Data(data=body), h11.EndOfMessage()
             )
+        self._close()
+
+    def _close(self) -> None:
+        """Closes once all is written; a client that does not read it in time is cut off."""
         self.gone = True
-        self.transport.loseConnection()
+        hang_up(self.transport)
+        self._wait(self.owner.me.head_s)
 
     def _send(self, *events: Any) -> None:
         for event in events:
@@ -227,8 +251,7 @@
         self.exchange = None
         self.pause(False)
         if self.conn.our_state is h11.MUST_CLOSE or self.conn.their_state is not h11.DONE:
-            self.gone = True
-            self.transport.loseConnection()
+            self._close()
             return
         self.conn.start_next_cycle()
         self._wait(self.owner.me.idle_s)
@@ -239,8 +262,7 @@
 
     def cut(self) -> None:
         """Ends within an answer: what came is passed on, and its missing end shows that it is not whole."""
-        self.gone = True
-        self.transport.loseConnection()
+        self._close()
 
     # Back-pressure --------------------------------------------------------------------------------
 
@@ -277,8 +299,10 @@
         self._drop()
 
 
+@implementer(IHandshakeListener)
 class Back(Protocol):
-    """A connection to a server, kept for the next request when an exchange ended whole."""
+    """A connection to a server, kept for the next request when an exchange ended whole. On TLS it stands once the
+    server has shown the certificate that its number asks for; nothing of a request is written before."""
 
     transport: Any
 
@@ -288,11 +312,29 @@
         self.exchange: Exchange | None = None
         self.key = 0
         self.idle: Any = None
+        self.stands = False
         self.lost = False
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
+        if self.owner.tls is None:
+            self._stand()
+        else:
+            self.idle = self.owner.reactor.callLater(self.owner.me.connect_s, self.transport.abortConnection)
+
+    def handshakeCompleted(self) -> None:
+        wanted = party("server", self.server, self.owner.deployment)
+        if wanted in (names(self.transport) or set()):
+            self._stand()
+        else:
+            self.owner.count("server_wrong_name")
+            self.transport.abortConnection()
+
+    def _stand(self) -> None:
+        self.stands = True
+        self.owner.pools[self.server].stood()
+        self.owner.ready(self)
 
     def take(self, exchange: Exchange, key: int) -> None:
         """Begins an exchange: its head, and what of its body is here."""
@@ -328,7 +370,7 @@
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     break
                 if isinstance(event, h11.ConnectionClosed):
-                    self.transport.loseConnection()
+                    hang_up(self.transport)
                     break
                 self._event(event)
         except (h11.RemoteProtocolError, h11.LocalProtocolError):
@@ -346,7 +388,7 @@
             headers = dict(event.headers)
             if event.status_code == 503 and headers.get(b"x-puffintide-ran") == b"no":
                 self.exchange, exchange.back = None, None
-                self.transport.loseConnection()
+                hang_up(self.transport)
                 self.owner.answered(self.server, self.key, m.FULL)
                 return
             exchange.committed = True
@@ -364,14 +406,14 @@
 
     def _done(self, exchange: Exchange) -> None:
         self.exchange, exchange.back = None, None
+        key = self.key
         if self.conn.our_state is h11.DONE and self.conn.their_state is h11.DONE:
             self.conn.start_next_cycle()
-            self.idle = self.owner.reactor.callLater(self.owner.me.idle_s, self.transport.loseConnection)
-            self.owner.keep(self)
+            self.owner.ready(self)  # first, so that the client's next request finds it
         else:
             self.lost = True
-            self.transport.loseConnection()
-        self.owner.whole(exchange, self.server, self.key)
+            hang_up(self.transport)
+        self.owner.whole(exchange, self.server, key)
 
     def give_up(self) -> None:
         """Its answer is no longer awaited; an answer on a connection that is gone can reach nobody."""
@@ -398,23 +440,23 @@
         self.lost = True
         if self.idle is not None and self.idle.active():
             self.idle.cancel()
-        self.owner.back_lost(self)
+        if self.stands:
+            self.owner.back_lost(self)
+        else:
+            self.owner.open_failed(self.server)
 
 
 class _BackFactory(ClientFactory):
     noisy = False
 
-    def __init__(self, owner: HttpProxy, server: int, exchange: Exchange, key: int) -> None:
-        self.owner, self.server, self.exchange, self.key = owner, server, exchange, key
+    def __init__(self, owner: HttpProxy, server: int) -> None:
+        self.owner, self.server = owner, server
 
     def buildProtocol(self, addr: Any) -> Back:
-        back = Back(self.owner, self.server)
-        # Called before the transport is there; the exchange begins as soon as it is.
-        self.owner.reactor.callLater(0, self.owner.opened, back, self.exchange, self.key)
-        return back
+        return Back(self.owner, self.server)
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        self.owner.open_failed(self.server, self.key)
+        self.owner.open_failed(self.server)
 
 
 class HttpProxy:
@@ -428,13 +470,17 @@
         engine: Engine,
         slices: int,
         count: Callable[[str], None],
+        deployment: str,
+        tls: Contexts | None = None,
     ) -> None:
+        self.deployment, self.tls = deployment, tls
         self.reactor, self.me, self.classes, self.slices, self.count = reactor, me, classes, slices, count
         self.engine = engine
         self.fronts: set[Front] = set()
         self.exchanges: dict[int, Exchange] = {}
-        self.pools: dict[int, list[Back]] = {}
-        self.open: dict[int, int] = {}  # connections by server, those under way among them
+        self.pools: dict[int, Openings] = {}  # by server
+        self.idle: dict[int, list[Back]] = {}
+        self.waits: dict[int, tuple[int, int]] = {}  # tries that wait for a connection: server, exchange
         self.next_ref = 0
         self.timer: Any = None
 
@@ -497,47 +543,68 @@
 
     def _place(self, e: Send) -> None:
         assert isinstance(e.ref, int)
-        exchange = self.exchanges[e.ref]
-        pool = self.pools.get(e.server, [])
-        while pool:
-            back = pool.pop()
+        pool = self.pools.setdefault(e.server, Openings(self.me.pool_most))
+        idle = self.idle.get(e.server, [])
+        while idle:
+            back = idle.pop()
             if not back.lost:
-                back.take(exchange, e.key)
+                back.take(self.exchanges[e.ref], e.key)
                 return
-        if self.open.get(e.server, 0) >= self.me.pool_most:
+        if not pool.ask(e.key):
             self.count("pool_full")
-            self.reactor.callLater(0, self.open_failed, e.server, e.key, False)
+            self.reactor.callLater(0, self._never, e.server, [e.key])
             return
-        self.open[e.server] = self.open.get(e.server, 0) + 1
-        host, _, port = self.engine.tables.addresses[e.server].rpartition(":")
-        factory = _BackFactory(self, e.server, exchange, e.key)
-        self.reactor.connectTCP(host, int(port), factory, self.me.connect_s)
-
-    def opened(self, back: Back, exchange: Exchange, key: int) -> None:
-        if back.lost:
-            return
-        if exchange.ended or exchange.ref not in self.exchanges or key not in self.engine.requests:
-            self.keep(back)  # its request has ended meanwhile
+        self.waits[e.key] = (e.server, e.ref)
+        self.reactor.callLater(self.me.connect_s, self._waited, e.server, e.key)
+        self._open(e.server)
+
+    def _open(self, server: int) -> None:
+        host, _, port = self.engine.tables.addresses[server].rpartition(":")
+        for _ in range(self.pools[server].open_now()):
+            made = _BackFactory(self, server)
+            if self.tls is None:
+                self.reactor.connectTCP(host, int(port), made, self.me.connect_s)
+            else:
+                self.reactor.connectSSL(host, int(port), made, self.tls, self.me.connect_s)
+
+    def ready(self, back: Back) -> None:
+        """A connection has come to stand, or its exchange ended: the next try takes it, else it is kept."""
+        pool = self.pools[back.server]
+        while (key := pool.next()) is not None:
+            exchange = self.exchanges.get(self.waits.pop(key, (0, 0))[1])
+            if exchange is not None and not exchange.ended and key in self.engine.requests:
+                back.take(exchange, key)
+                break
         else:
-            back.take(exchange, key)
+            self.idle.setdefault(back.server, []).append(back)
+            back.idle = self.reactor.callLater(self.me.idle_s, hang_up, back.transport)
+        self._open(back.server)
 
-    def open_failed(self, server: int, key: int, counted: bool = True) -> None:
-        if counted:
-            self.open[server] -= 1
-        self.do(self.engine.never_sent(self.now(), server, key))
+    def _waited(self, server: int, key: int) -> None:
+        """It waited for a connection as long as one may take to stand."""
+        if self.pools[server].drop(key):
+            self.count("waited_for_connection")
+            self._never(server, [key])
 
-    def keep(self, back: Back) -> None:
-        self.pools.setdefault(back.server, []).append(back)
+    def open_failed(self, server: int) -> None:
+        self._never(server, self.pools[server].failed())
+        self._open(server)
+
+    def _never(self, server: int, keys: list[int]) -> None:
+        for key in keys:
+            self.waits.pop(key, None)
+            self.do(self.engine.never_sent(self.now(), server, key))
 
     def back_lost(self, back: Back) -> None:
-        self.open[back.server] -= 1
-        pool = self.pools.get(back.server, [])
-        if back in pool:
-            pool.remove(back)
+        self.pools[back.server].lost()
+        idle = self.idle.get(back.server, [])
+        if back in idle:
+            idle.remove(back)
         exchange, back.exchange = back.exchange, None
         if exchange is not None:
             exchange.back = None
             self.do(self.engine.broke(self.now(), back.server, back.key))
+        self._open(back.server)
 
     def answered(self, server: int, key: int, status: int) -> None:
         self.do(self.engine.answered(self.now(), server, key, status, []))
@@ -551,6 +618,9 @@
         self.answered(server, key, m.OK)
 
     def _cancel(self, key: int) -> None:
+        if key in self.waits:
+            self.pools[self.waits.pop(key)[0]].drop(key)
+            return
         for exchange in self.exchanges.values():
             if exchange.back is not None and exchange.back.key == key:
                 back, exchange.back = exchange.back, None
--- a/puffintide/proxy/service.py
+++ b/puffintide/proxy/service.py
@@ -66,7 +66,16 @@
         self.http: HttpProxy | None = None
         if me.http:
             other = Engine(limits(config, me), self.draw, like=self.engine)
-            self.http = HttpProxy(reactor, me, config.classes, other, config.deployment.slices, self._count)
+            self.http = HttpProxy(
+                reactor,
+                me,
+                config.classes,
+                other,
+                config.deployment.slices,
+                self._count,
+                config.deployment.name,
+                tls,
+            )
         self.deployment = config.deployment.name
         self.slices = config.deployment.slices
         self.classes = len(config.classes)
--- a/puffintide/tls/context.py
+++ b/puffintide/tls/context.py
@@ -8,13 +8,15 @@
 
 from cryptography import x509
 from OpenSSL import SSL
-from twisted.internet.interfaces import ISSLTransport
+from twisted.internet.interfaces import IOpenSSLContextFactory, ISSLTransport
+from zope.interface import implementer
 
 
 class TlsError(Exception):
     """The files can't be used; the text says which and why."""
 
 
+@implementer(IOpenSSLContextFactory)
 class Contexts:
     """getContext() as Twisted asks for it, at each new stream. Both ends show a certificate of the same authority.
 
--- a/puffintide/wire/stream.py
+++ b/puffintide/wire/stream.py
@@ -20,6 +20,12 @@
 Handler = Callable[["Stream", AnyMessage], None]
 
 
+def hang_up(transport: Any) -> None:
+    """Closes once all is written. A TLS transport would first wait for its producer to end, which ours never do."""
+    transport.unregisterProducer()
+    transport.loseConnection()
+
+
 class Stream(LineOnlyReceiver):
     """Lines in, messages out. `writable` is False while the peer reads more slowly than we write."""
 
@@ -100,7 +106,7 @@
             self.reason = reason
             if not reason.startswith("refused"):
                 self.send(Refuse(reason[:500]))
-            self.transport.loseConnection()
+            hang_up(self.transport)
             if not self.writable:
                 self.transport.abortConnection()
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -292,6 +292,17 @@
         assert not any(b"smuggled" in head for head in server.heads)
 
 
+def test_requests_that_http_allows_and_few_send_leave_nothing_behind(tmp_path: Path) -> None:
+    # Both once ended in an error within the proxy, and the request was held for ever.
+    server = Server(good)
+    proxy = Proxy(tmp_path, server.port)
+    with proxy.running():
+        found = proxy.ask(b"HEAD /a HTTP/1.1\r\nhost: x\r\nx-puffintide-class: king\r\n\r\n")
+        assert found.startswith(b"HTTP/1.1 400") and found.endswith(b"\r\n\r\n")
+        assert b"you asked /old" in proxy.ask(b"GET /old HTTP/1.0\r\n\r\n")
+        assert b"host:" in server.heads[-1].lower()  # 1.1 wants one, 1.0 may leave it out
+
+
 def test_half_a_request_and_silence_are_cut_off(tmp_path: Path) -> None:
     proxy = Proxy(tmp_path, Server(good).port)
     with proxy.running(idle_s="1"):
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -17,6 +17,7 @@
 from puffintide.proxy.admit import Gate
 from puffintide.proxy.choice import Lottery, Rotation, slice_of
 from puffintide.proxy.engine import Cancel, Close, Connect, Effect, Engine, Finish, Limits, Send
+from puffintide.proxy.openings import Openings
 from puffintide.proxy.state import StateError, load_state, save_state
 from puffintide.proxy.tables import Tables
 from puffintide.proxy.tries import Kind, Past, further, patience
@@ -487,3 +488,43 @@
     assert tables.open(0) == {1: 1.0}
     tables.charge(m.Charge(0, 1, 0, old.lines, 6))
     assert tables.open(0) == {0: 1.0}
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["ask", "stood", "failed", "lost", "ready", "drop"]), st.integers(0, 9))
+    )
+)
+def test_openings_are_bounded_by_what_has_stood_and_lose_no_try(steps: list[tuple[str, int]]) -> None:
+    found = Openings(6)
+    waiting: set[int] = set()
+    key = stood = 0
+    for what, which in steps:
+        if what == "ask":
+            key += 1
+            if found.ask(key):
+                waiting.add(key)
+            else:
+                assert found.standing + found.opening >= 6 or len(waiting) >= 6
+        elif what == "stood" and found.opening:
+            found.stood()
+            stood += 1
+        elif what == "failed" and found.opening:
+            ended = found.failed()
+            stood = 0
+            assert set(ended) == waiting  # each would have met the same
+            waiting = set()
+        elif what == "lost" and found.standing:
+            found.lost()
+            stood = stood if found.standing else 0
+        elif what == "ready" and found.standing:
+            taken = found.next()
+            assert taken == (min(waiting) if waiting else None)
+            waiting.discard(taken or 0)
+        elif what == "drop":
+            assert found.drop(which) == (which in waiting)
+            waiting.discard(which)
+        found.open_now()
+        assert found.opening <= min(1 + stood, 6) and found.standing + found.opening <= 6
+        # Whoever waits will have an answer: a connection is under way, or one that stands is in use.
+        assert not waiting or found.opening or found.standing
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import socket
 import ssl
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from puffintide.proxy.choice import slice_of
+from puffintide.proxy.state import save_state
+from puffintide.proxy.tables import Saved
 from puffintide.tls.context import Contexts, TlsError
 from puffintide.tls.keys import KeyFailure, make_authority, make_certificate, party
 from puffintide.wire import messages as m
@@ -157,6 +163,82 @@
         assert isinstance(reply, m.Refuse) and "not store-0.t.puffintide" in reply.reason
 
 
+class Secure:
+    """An HTTPS server that takes its time for each handshake and notes how many are under way at once."""
+
+    def __init__(self, keys: Path, name: str, slow_s: float) -> None:
+        self.port = PORTS.take()
+        self.context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        self.context.load_cert_chain(keys / f"{name}.pem", keys / f"{name}.key")
+        self.context.load_verify_locations(keys / "ca.pem")
+        self.context.verify_mode = ssl.CERT_REQUIRED
+        self.slow_s, self.lock = slow_s, threading.Lock()
+        self.under_way = 0
+        self.most: list[int] = []  # under way as each began
+        self.asked = 0
+        self.listener = socket.create_server(("127.0.0.1", self.port), backlog=100)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                sock = self.listener.accept()[0]
+                threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, raw: socket.socket) -> None:
+        with self.lock:
+            self.under_way += 1
+            self.most.append(self.under_way)
+        time.sleep(self.slow_s)
+        with self.lock:
+            self.under_way -= 1
+        with contextlib.suppress(OSError):
+            sock = self.context.wrap_socket(raw, server_side=True)
+            while data := sock.recv(65536):
+                self.asked += data.count(b"GET ")
+                time.sleep(0.05)
+                sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+
+
+def test_to_servers_it_speaks_tls_checks_their_name_and_opens_few_at_once(keys: Path, tmp_path: Path) -> None:
+    for number in (0, 1):
+        make_certificate(keys, party("server", number, "t"))
+    right = Secure(keys, party("server", 0, "t"), 0.1)
+    wrong = Secure(keys, party("server", 1, "t"), 0.0)  # the tables call it server 2
+    held = [[m.Held(0, 1.0, f"127.0.0.1:{right.port}")], [m.Held(2, 1.0, f"127.0.0.1:{wrong.port}")]]
+    charges = [m.Charge(n, 1, 0, held[n]) for n in range(2)]
+    save_state(str(tmp_path / "tables.json"), Saved(1, 0.0, charges, {}, []))
+    key = {slice_of(text, 2): text for text in (b"a", b"b", b"c", b"d", b"e")}
+    port, nobody = PORTS.take(), PORTS.take()
+    section = {
+        "id": "3", "listen": f"127.0.0.1:{PORTS.take()}", "http": f"127.0.0.1:{port}", "connect_s": "2",
+        "assigners": f"127.0.0.1:{nobody}", "store": f"127.0.0.1:{nobody}", "state": str(tmp_path / "tables.json"),
+    }  # fmt: skip
+    name = str(keys / party("proxy", 3, "t"))
+    tls = {"ca": str(keys / "ca.pem"), "cert": f"{name}.pem", "key": f"{name}.key"}
+
+    def ask(slice_number: int) -> bytes:
+        with dial(port, keys, party("proxy", 3, "t")) as sock:
+            text = key[slice_number]
+            sock.sendall(
+                b"GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\nx-puffintide-key: %s\r\n\r\n" % text
+            )
+            data = b""
+            while more := sock.recv(65536):
+                data += more
+            return data
+
+    with process(tmp_path, "proxy", section, deployment={"slices": "2"}, tls=tls):
+        with ThreadPoolExecutor(20) as pool:
+            found = list(pool.map(ask, [0] * 20))
+        assert all(b" 200 " in answer for answer in found)
+        # Twenty at once: one connection is tried, then two, then four; none opens before another has stood.
+        assert right.most[0] == 1 and max(right.most) < 10 and len(right.most) < 20
+        refused = ask(1)
+        assert b" 503 " in refused and b"x-puffintide-ran: no" in refused
+        assert wrong.asked == 0
+
+
 def test_files_that_do_not_fit_are_told(keys: Path, tmp_path: Path) -> None:
     good = [
         str(keys / "ca.pem"),
