Zone plan: a lost zone's spill has a stated limit, its return grows, flaps are held, and a hand

Need: no limit on what spills when a zone is lost, every slice back at once when a zone is told again, moves at every flap, no operator's hand.

--- a/benchmarks/fuzz_fronts.py
+++ b/benchmarks/fuzz_fronts.py
@@ -98,7 +98,7 @@
     def one(self, way: str, data: bytes) -> None:
         with socket.create_connection(("127.0.0.1", self.ports[way]), 5) as sock:
             sock.settimeout(0.3)
-            with contextlib.suppress(ConnectionError, TimeoutError):
+            with contextlib.suppress(OSError):
                 if self.rng.random() < 0.1:
                     for k in range(min(60, len(data))):
                         sock.sendall(data[k : k + 1])
--- a/puffintide/assigner/service.py
+++ b/puffintide/assigner/service.py
@@ -16,11 +16,14 @@
 from puffintide.assigner.reports import Gatherer
 from puffintide.assigner.runtime import Effects, Runtime
 from puffintide.config.loader import Config, settings
+from puffintide.policy import Director
 from puffintide.tls.context import Contexts
 from puffintide.wire import messages as m
 from puffintide.wire.messages import AnyMessage
 from puffintide.wire.session import Greeting
 from puffintide.wire.stream import Acceptor, Dialler, Handler, Stream
+from puffintide.zones.director import ZonedDirector
+from puffintide.zones.plan import ZoneLimits
 
 STATS_S = 5.0
 
@@ -35,7 +38,11 @@
         self.reactor, self.config, self.me, self.log, self.life = reactor, config, config.assigner, log, life
         self.tls = tls
         self.settings = settings(config, self.me.id, self.me.zone, self.me.seed)
-        self.runtime = Runtime(self.settings)
+        limits = ZoneLimits(config.zones.spill)
+        self.zoned = ZonedDirector(self.settings, limits) if config.zones.plan else None
+        zoned = self.zoned
+        self.runtime = Runtime(self.settings, (lambda _: zoned) if zoned is not None else Director)
+        self.hands: dict[int, int] = {}  # number of the order that stands, by zone
         self.channel = Channel(
             self.settings.channel_lines_per_s, self.settings.channel_limit, self.settings.messages_span_s
         )
@@ -70,7 +77,7 @@
         return Acceptor(self.reactor, me, self._from_dialled, self._proxy_lost, self._judge)
 
     def _judge(self, hello: Greeting) -> str | None:
-        if hello.role not in ("proxy", "assigner"):
+        if hello.role not in ("proxy", "assigner", "operator"):
             return f"role {hello.role!r} is not served by an assigner"
         assert isinstance(hello, m.Hello)
         if hello.deployment != self.config.deployment.name:
@@ -102,7 +109,9 @@
             case m.Hello(role="proxy"):
                 self._proxy_joined(now, stream, message)
             case m.Hello():
-                stream.tag = ("assigner", message.id)
+                stream.tag = (message.role, message.id)
+            case m.AskZones() if stream.tag and stream.tag[0] == "operator":
+                stream.send(self._zones(now))
             case m.Sums() if stream.tag and stream.tag[0] == "proxy":
                 zone = self.runtime.proxies.get(stream.tag[1])
                 if zone is not None:
@@ -118,6 +127,17 @@
             case _:
                 stream.refuse(f"a {type(message).__name__} is not for an assigner")
 
+    def _zones(self, now: float) -> m.Zones:
+        states = self.zoned.plan.states() if self.zoned is not None else []
+        rows = [
+            m.ZoneRow(
+                s.zone, s.phase, s.cause, round(s.share, 4), round(s.bound, 4), round(s.bound_most, 4),
+                round(max(0.0, s.until - now), 3), s.flaps, list(s.spill), round(s.beyond, 4),
+            )
+            for s in states
+        ]  # fmt: skip
+        return m.Zones(self.me.id, self.zoned is not None, rows)
+
     def _proxy_joined(self, now: float, stream: Stream, hello: m.Hello) -> None:
         old = self.proxies.get(hello.id)
         if old is not None:
@@ -152,6 +172,12 @@
                 for charge in message.charges:
                     if charge.assigner == self.me.id:
                         self.runtime.charge(now, charge)
+            case m.Hands():
+                for hand in message.hands:
+                    if hand.number != self.hands.get(hand.zone):
+                        self.hands[hand.zone] = hand.number
+                        self.runtime.hear(now, api.ZoneHand(hand.zone, hand.what, hand.pace))
+                        self.log.warning("hand", zone=hand.zone, what=hand.what, by=hand.by)
             case m.Taken():
                 self.runtime.taken(now, message.slice)
                 self.reports.forget_slice(message.slice)
--- /dev/null
+++ b/puffintide/cli/hand.py
@@ -0,0 +1,83 @@
+"""The operator's hand: one question or order to the store or an assigner, and its answer."""
+
+from __future__ import annotations
+
+import getpass
+from typing import Any
+
+from puffintide.config.loader import Config
+from puffintide.tls.context import Contexts
+from puffintide.wire import messages as m
+from puffintide.wire.clock import monotonic_reactor
+from puffintide.wire.messages import AnyMessage
+from puffintide.wire.stream import Dialler, Stream
+
+LONGEST_S = 5.0
+
+
+class HandError(Exception):
+    """No answer, or a refusal; the text says which."""
+
+
+def ask(
+    config: Config, wanted: list[tuple[str, m.Message]], tls: Contexts | None = None
+) -> list[AnyMessage | str]:
+    """Sends each message to its address. An answer for each, or the reason why there is none."""
+    assert config.operator is not None
+    reactor: Any = monotonic_reactor()
+    found: dict[int, AnyMessage | str] = {}
+    hello = m.Hello(m.VERSION, "operator", config.operator.id, 0, config.deployment.name)
+
+    def took(number: int, answer: AnyMessage | str) -> None:
+        found.setdefault(number, answer)
+        if len(found) == len(wanted):
+            reactor.callLater(0, reactor.stop)
+
+    def one(number: int, address: str, message: m.Message) -> Dialler:
+        def heard(stream: Stream, answer: AnyMessage) -> None:
+            if isinstance(answer, m.Welcome):
+                stream.send(message)
+            elif isinstance(answer, m.Hands | m.Zones):
+                took(number, answer)
+            elif isinstance(answer, m.Refuse):
+                took(number, answer.reason)
+
+        return Dialler(
+            reactor,
+            address,
+            lambda: hello,
+            heard,
+            lambda why: took(number, why or "unreachable"),
+            again=False,
+            tls=tls,
+        )
+
+    diallers = [one(k, address, message) for k, (address, message) in enumerate(wanted)]
+    for dialler in diallers:
+        reactor.callWhenRunning(dialler.start)
+    reactor.callLater(LONGEST_S, reactor.stop)
+    reactor.run()
+    return [found.get(k, f"no answer within {LONGEST_S:g} s") for k in range(len(wanted))]
+
+
+def order(config: Config, zone: str, what: str, pace: float, tls: Contexts | None = None) -> m.Hands:
+    """Orders a zone drained, held or returned; gives what now stands. Raises HandError."""
+    assert config.operator is not None
+    if zone not in config.deployment.zones:
+        raise HandError(f"zone {zone!r} is unknown; allowed: {', '.join(config.deployment.zones)}")
+    hand = m.Hand(config.deployment.zones.index(zone), what, pace, getpass.getuser())
+    answer = ask(config, [(config.operator.store, hand)], tls)[0]
+    if not isinstance(answer, m.Hands):
+        raise HandError(f"store {config.operator.store}: {answer}")
+    return answer
+
+
+def show(config: Config, tls: Contexts | None = None) -> dict[str, m.Zones | str]:
+    """How each assigner judges the zones, by address; a text where it did not tell."""
+    assert config.operator is not None
+    addresses = config.operator.assigners
+    answers = ask(config, [(address, m.AskZones()) for address in addresses], tls)
+    return {
+        address: answer if isinstance(answer, m.Zones) else str(answer)
+        for address, answer in zip(addresses, answers, strict=True)
+    }
--- a/puffintide/cli/main.py
+++ b/puffintide/cli/main.py
@@ -75,6 +75,88 @@
     run_proxy(_load(path, "proxy"))
 
 
+@cli.group()
+def zone() -> None:
+    """The operator's hand on zones, and how assigners judge them; needs an [operator] section."""
+
+
+def _hand(path: str, name: str, what: str, pace: float) -> None:
+    from puffintide.cli.hand import HandError, order
+    from puffintide.cli.processes import tls_of
+
+    config = _load(path, "operator")
+    try:
+        standing = order(config, name, what, pace, tls_of(config))
+    except HandError as error:
+        raise Failure(str(error)) from None
+    for hand in standing.hands:
+        name = config.deployment.zones[hand.zone]
+        click.echo(f"zone {name}: {hand.what}, pace {hand.pace:g}, by {hand.by}, order {hand.number}")
+
+
+CONFIG = click.option("--config", "path", required=True, help="INI file with an [operator] section.")
+PACE = click.option(
+    "--pace", type=click.FloatRange(0.1, 10), default=1.0, help="Of its steps; 1 is the usual."
+)
+
+
+@zone.command("drain")
+@click.argument("name")
+@CONFIG
+@PACE
+def zone_drain(name: str, path: str, pace: float) -> None:
+    """Moves a zone's slices away step by step, as far as others have room, and keeps it out."""
+    _hand(path, name, "drain", pace)
+
+
+@zone.command("hold")
+@click.argument("name")
+@CONFIG
+def zone_hold(name: str, path: str) -> None:
+    """Keeps a zone out at once. It is still used where nothing else is left."""
+    _hand(path, name, "hold", 1.0)
+
+
+@zone.command("return")
+@click.argument("name")
+@CONFIG
+@PACE
+def zone_return(name: str, path: str, pace: float) -> None:
+    """Lets a zone that was drained or held come back, step by step."""
+    _hand(path, name, "return", pace)
+
+
+@zone.command("show")
+@CONFIG
+def zone_show(path: str) -> None:
+    """How each assigner judges each zone. Exit 1 if one does not answer."""
+    from puffintide.cli.hand import show
+    from puffintide.cli.processes import tls_of
+    from puffintide.wire.messages import Zones
+
+    config = _load(path, "operator")
+    names = config.deployment.zones
+    table = Table("assigner", "zone", "phase", "why", "there", "bound", "losses", "its load goes to")
+    missing = 0
+    for address, answer in show(config, tls_of(config)).items():
+        if not isinstance(answer, Zones):
+            table.add_row(address, "", answer)
+            missing += 1
+            continue
+        if not answer.planned:
+            table.add_row(str(answer.assigner), "", "no zone plan ([zones] plan = no)")
+        for row in answer.zones:
+            spill = ", ".join(f"{names[z]} {share:.0%}" for z, share in row.spill)
+            spill += f", beyond {row.beyond:.0%}" if spill else ""
+            why = row.cause + (f", {row.held_s:.0f} s more" if row.phase == "held" else "")
+            table.add_row(
+                str(answer.assigner), names[row.zone], row.phase, why, f"{row.share:.0%}",
+                f"{row.bound:.2f} to {row.bound_most:.2f}", str(row.flaps), spill,
+            )  # fmt: skip
+    out_console.print(table)
+    sys.exit(1 if missing else 0)
+
+
 @cli.command()
 @click.argument("folder")
 @click.argument("names", nargs=-1)
--- a/puffintide/cli/processes.py
+++ b/puffintide/cli/processes.py
@@ -25,6 +25,11 @@
 from puffintide.wire.clock import monotonic_reactor
 
 
+def tls_of(config: Config) -> Contexts | None:
+    """For a command that runs once."""
+    return _tls(config, setup("operator"))
+
+
 def _tls(config: Config, log: Any) -> Contexts | None:
     if config.tls is None:
         return None
@@ -108,7 +113,7 @@
         except TableError as error:
             print(f"puffintide: {error}", file=sys.stderr)
             sys.exit(2)
-    service = StoreService(reactor, book, d.name, log)
+    service = StoreService(reactor, book, d.name, log, len(d.zones))
     _listen(reactor, config.store.listen, service.factory(), _tls(config, log))
     service.start()
     _run(reactor)
--- a/puffintide/config/loader.py
+++ b/puffintide/config/loader.py
@@ -28,6 +28,8 @@
     "probes": s.ProbeSection,
     "rules": s.Rules,
     "charge": s.StoreSection,
+    "zones": s.ZonesSection,
+    "operator": s.OperatorSection,
     "assigner": s.AssignerProcess,
     "store": s.StoreProcess,
     "proxy": s.ProxyProcess,
@@ -37,7 +39,7 @@
     "net": s.Net,
     "day": s.Day,
 }
-NAMED: dict[str, type[s.Section]] = {"class": s.ClassSection, "fault": s.Fault}
+NAMED: dict[str, type[s.Section]] = {"class": s.ClassSection, "fault": s.Fault, "zone": s.ZoneSection}
 FILE_MOST = 4 << 20  # bytes
 
 
@@ -53,6 +55,9 @@
     probes: s.ProbeSection = field(default_factory=s.ProbeSection)
     rules: s.Rules = field(default_factory=s.Rules)
     charge: s.StoreSection = field(default_factory=s.StoreSection)
+    zones: s.ZonesSection = field(default_factory=s.ZonesSection)
+    near: dict[str, s.ZoneSection] = field(default_factory=dict)  # by zone
+    operator: s.OperatorSection | None = None
     classes: dict[str, s.ClassSection] = field(default_factory=dict)
     assigner: s.AssignerProcess | None = None
     store: s.StoreProcess | None = None
@@ -85,7 +90,7 @@
     """The same from sections at hand."""
     errors: list[str] = []
     found: dict[str, s.Section] = {}
-    named: dict[str, dict[str, s.Section]] = {"class": {}, "fault": {}}
+    named: dict[str, dict[str, s.Section]] = {name: {} for name in NAMED}
     for title, values in sections.items():
         head, _, rest = title.partition(" ")
         model = SECTIONS.get(title) or (NAMED.get(head) if rest else None)
@@ -108,11 +113,12 @@
     classes = {n: c for n, c in named["class"].items() if isinstance(c, s.ClassSection)}
     if not any(title.startswith("class ") for title in sections):
         errors.append(f"{path}: [class NAME]: at least one class of requests is needed")
-    errors += _across(path, found, classes, named["fault"])
+    near = {n: z for n, z in named["zone"].items() if isinstance(z, s.ZoneSection)}
+    errors += _across(path, found, classes, named["fault"], near)
     if errors:
         raise ConfigError(errors)
     faults = {n: f for n, f in named["fault"].items() if isinstance(f, s.Fault)}
-    return Config(path=path, classes=classes, faults=faults, **found)  # type: ignore[arg-type]
+    return Config(path=path, classes=classes, faults=faults, near=near, **found)  # type: ignore[arg-type]
 
 
 def _tell(path: str, title: str, error: object, values: dict[str, str], model: type[s.Section]) -> str:
@@ -128,7 +134,11 @@
 
 
 def _across(
-    path: str, found: dict[str, s.Section], classes: dict[str, s.ClassSection], faults: dict[str, s.Section]
+    path: str,
+    found: dict[str, s.Section],
+    classes: dict[str, s.ClassSection],
+    faults: dict[str, s.Section],
+    near: dict[str, s.ZoneSection],
 ) -> list[str]:
     """What no section can tell alone."""
     errors = []
@@ -148,11 +158,34 @@
             if isinstance(fault, s.Fault) and isinstance(fleet, s.Fleet):
                 bad = [x for x in fault.servers if not 0 <= x < fleet.servers + fleet.spare]
                 errors += [f"{path}: [fault {name}] servers = {x}: no such server" for x in bad]
+        known = deployment.zones
+        for name, section in sorted(near.items()):
+            if name not in known:
+                errors.append(f"{path}: [zone {name}]: no such zone; allowed: {', '.join(known)}")
+            unknown = [z for z in section.near if z not in known or z == name]
+            if unknown or len(set(section.near)) < len(section.near):
+                errors.append(
+                    f"{path}: [zone {name}] near = {', '.join(section.near)!r}: "
+                    f"must name other zones, each once: {', '.join(known)}"
+                )
     if len(classes) > 16:
         errors.append(f"{path}: {len(classes)} classes; at most 16")
     return errors
 
 
+def tiers(config: Config) -> tuple[tuple[int, ...], ...]:
+    """By zone, how near each zone is: 0 its own, then as [zone NAME] near says, then all others alike."""
+    zones = config.deployment.zones
+    if not config.near:
+        return ()
+    rows = []
+    for name in zones:
+        near = config.near[name].near if name in config.near else []
+        rank = {name: 0} | {other: k + 1 for k, other in enumerate(near)}
+        rows.append(tuple(rank.get(other, len(near) + 1) for other in zones))
+    return tuple(rows)
+
+
 def settings(config: Config, instance: int, zone: int, seed: int) -> api.Settings:
     """The module's settings as the file has them."""
     d, c, r = config.deployment, config.channel, config.reports
@@ -192,4 +225,5 @@
         fall_multiple=config.rules.fall_multiple,
         fall_s=config.rules.fall_s,
         bare_s=config.rules.bare_s,
+        tiers=tiers(config),
     )
--- a/puffintide/config/schema.py
+++ b/puffintide/config/schema.py
@@ -116,6 +116,27 @@
     reread_s: Positive = 1.0  # a proxy that joins reads the store at once, and again so long after
 
 
+class ZonesSection(Section):
+    """How the loss and the return of a zone are met; docs/zones.md."""
+
+    plan: bool = True  # no: the module alone
+    spill: Share = 0.8  # of a receiving zone's spare capacity, what other zones' slices may take
+
+
+class ZoneSection(Section):
+    """[zone NAME]"""
+
+    near: Names = []  # zones that its slices go to before others, nearest first; its own is always nearest
+
+
+class OperatorSection(Section):
+    """[operator]: whom the zone commands talk to."""
+
+    store: Address
+    assigners: Addresses = []
+    id: int = Field(default=0, ge=0)
+
+
 class ClassSection(Section):
     share: Share = 1.0
     effect: Literal["repeatable", "by_key", "once"] = "repeatable"
@@ -250,7 +271,7 @@
     "crash", "hang", "slow", "pauses", "report_late", "hot_key", "heavy_tail", "zone_loss", "deploy", "shrink",
     "grow", "balancer_crash", "balancer_stop", "shared_slow", "counter_down", "give_up", "preempt", "slow_link",
     "one_sided", "conn_squeeze", "false_reports", "handshake_slow", "mass_restart", "shift", "store_down",
-    "list_down", "slow_reader",
+    "list_down", "slow_reader", "zone_flap",
 )  # fmt: skip
 
 
--- a/puffintide/days/faults.py
+++ b/puffintide/days/faults.py
@@ -92,6 +92,17 @@
             if fault.way == "all" and len(who) < config.deployment.assigners:
                 steps += [process(begin, "kill", *who), process(end, "start", *who)]
             return steps
+        case "zone_flap":  # size: seconds of a period, half of it away; the last time it stays
+            ids = [s for s in every if s % zones == fault.zone]
+            flaps = max(1, int(fault.for_s / max(fault.size, 0.5)))
+            return [
+                step
+                for k in range(flaps)
+                for step in (
+                    fleet(begin + k * fault.size, "crash", ids),
+                    fleet(begin + (k + 0.5) * fault.size, "start", ids),
+                )
+            ]
         case "deploy":  # size: share of the fleet at a time, extra: seconds from drain to stop
             ids = _chosen(fault, config, draw)
             batch = max(1, round(fault.size * config.fleet.servers)) if fault.size < 1 else round(fault.size)
--- a/puffintide/days/kinds.py
+++ b/puffintide/days/kinds.py
@@ -23,6 +23,7 @@
     "hot_key": {"for_s": "12", "size": "0.1"},
     "heavy_tail": {"for_s": "14", "size": "15", "extra": "0.015"},
     "zone_loss": {"for_s": "9", "zone": "0", "way": "all"},
+    "zone_flap": {"for_s": "18", "zone": "0", "size": "6"},
     "deploy": {"part": "0.6", "for_s": "18", "size": "0.17", "extra": "4"},
     "shrink": {"part": "0.4", "for_s": "14", "extra": "5"},
     "grow": {"for_s": "6"},
--- a/puffintide/days/runner.py
+++ b/puffintide/days/runner.py
@@ -46,14 +46,15 @@
     lives: dict[str, int] = field(default_factory=dict)
     notes: list[dict[str, Any]] = field(default_factory=list)
     place: Place | None = None
+    assigner: tuple[str, ...] = ("puffintide", "assigner")  # the module that plays it, and its first words
     port_start: int = 0  # days played side by side look for ports in different places
 
     # Processes ----------------------------------------------------------------------------------------
 
-    def _spawn(self, name: str, *words: str) -> Running:
+    def _spawn(self, name: str, *words: str, module: str = "puffintide") -> Running:
         log = (self.out / f"{name.replace(':', '-')}.log").open("a", encoding="utf-8")
         process = subprocess.Popen(
-            [sys.executable, "-m", "puffintide", *words],
+            [sys.executable, "-m", module, *words],
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
             stderr=log,
@@ -83,7 +84,8 @@
         name = f"assigner:{number}"
         life = self.lives[name] = self.lives.get(name, 0) + 1
         path = self.out / f"assigner-{number}.ini"
-        self._spawn(name, "assigner", "--config", str(path), "--life", str(life))
+        module, *first = self.assigner
+        self._spawn(name, *first, "--config", str(path), "--life", str(life), module=module)
         self.note("start", assigner=number, life=life)
 
     def note(self, what: str, **more: Any) -> None:
@@ -93,7 +95,7 @@
         base = configparser.ConfigParser(interpolation=None)
         base.read_string(self.source)
         zones = len(self.config.deployment.zones)
-        keep = ("deployment", "channel", "reports", "list", "probes", "rules", "charge")
+        keep = ("deployment", "channel", "reports", "list", "probes", "rules", "charge", "zones")
         peers = ", ".join(place.tapped(f"order:{k}") for k in range(len(place.assigners)))
         for number, port in enumerate(place.assigners):
             section = {
@@ -118,7 +120,7 @@
     ) -> None:
         made = configparser.ConfigParser(interpolation=None)
         for title in base.sections():
-            if title in keep or title.startswith("class "):
+            if title in keep or title.startswith(("class ", "zone ")):
                 made[title] = dict(base.items(title))
         for title, values in extra.items():
             made[title] = values
--- a/puffintide/interface.py
+++ b/puffintide/interface.py
@@ -55,6 +55,9 @@
     fall_multiple: float
     fall_s: float
     bare_s: float
+    tiers: tuple[
+        tuple[int, ...], ...
+    ] = ()  # by zone, how near each zone is to it (0: nearest); empty: all alike
 
 
 # Events -----------------------------------------------------------------------------------------
@@ -163,6 +166,24 @@
     name: int
 
 
+@dataclass(frozen=True, slots=True)
+class ServerBound:
+    """The share of a server's capacity that may be planned with, from the zone plan; 0: only if nothing else is
+    left. Until told otherwise it is 1."""
+
+    server: int
+    share: float
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneHand:
+    """An operator's order for a zone, to the zone plan: "drain", "hold" or "return"; pace 1 is the usual."""
+
+    zone: int
+    what: str
+    pace: float
+
+
 Event = (
     ServerList
     | LoadReport
@@ -176,6 +197,8 @@
     | ProbeResult
     | PeerMessage
     | TimerDue
+    | ServerBound
+    | ZoneHand
 )
 
 
--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -129,8 +129,11 @@
         self.per_size: float | None = None  # capacity of a server of listed size 1, fleet-wide
         self.probed: deque[tuple[float, bool]] = deque(maxlen=PROBES_KEPT)  # in flight per size; slowed?
         self.blind: set[int] = set()  # zones whose probes tell of the way there, not of servers
+        self.bounds: dict[int, float] = {}  # shares of capacity to plan with, where a zone plan bounds them
         self.in_work = 0.0  # requests in work per listed size at a full server
-        self.orders: dict[int, list[int]] = {}  # alternates of each slice, while the servers below stand
+        self.orders: dict[
+            tuple[int, int | None], list[int]
+        ] = {}  # alternates of each slice, while the servers below stand
         self.orders_for: list[tuple[bool, int]] = []
 
     def handle(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
@@ -187,6 +190,8 @@
                 self.proxies.discard(event.proxy)
             case api.ProbeResult():
                 self.see_probe(event)
+            case api.ServerBound():
+                self.bounds[event.server] = event.share
 
     def see_list(self, event: api.ServerList) -> None:
         if event.kind == "failed":
@@ -367,7 +372,7 @@
         """What the server can do now, all assigners together; whole: whatever its level."""
         view = self.servers[sid]
         known = view.capacity or (self.per_size or 1.0) * view.entry.weight
-        return known * (1.0 if whole else LEVELS[view.level]) * self.warmth(sid)
+        return known * (1.0 if whole else LEVELS[view.level] * self.bounds.get(sid, 1.0)) * self.warmth(sid)
 
     def project(self) -> Plan:
         """Every slice on its default server; a slice hotter than its server's part gets more places."""
@@ -375,10 +380,16 @@
 
     def ranking(self, number: int) -> list[int]:
         """The fixed order of alternates for a slice: warm servers by a hash, new ones last."""
-        if number not in self.orders:
-            ids = [(cold, zlib.crc32(b"%d:%d" % (number, s)), s) for cold, s in self.orders_for]
-            self.orders[number] = [s for _, _, s in sorted(ids)]
-        return self.orders[number]
+        key = number, self.slices[number].default
+        if key not in self.orders:
+            home = self.servers.get(self.slices[number].default or 0)
+            tiers = self.set.tiers[home.entry.zone] if self.set.tiers and home else (0,) * 256
+            ids = [
+                (cold, tiers[self.servers[s].entry.zone], zlib.crc32(b"%d:%d" % (number, s)), s)
+                for cold, s in self.orders_for
+            ]
+            self.orders[key] = [s for *_, s in sorted(ids)]
+        return self.orders[key]
 
     def detour(self, plan: Plan) -> Plan:
         can = {sid: self.capacity(sid) for sid in sorted(self.servers) if self.ready(sid)}
@@ -386,7 +397,7 @@
         if standing != self.orders_for:  # orders are worked out anew only when the list or warmth changes
             self.orders_for, self.orders = standing, {}
         load = {sid: self.servers[sid].foreign or 0.0 for sid in can}
-        usable = {sid for sid in can if self.servers[sid].level > 0 and sid not in self.withdrawn}
+        usable = {s for s in can if self.servers[s].level * self.bounds.get(s, 1.0) > 0} - self.withdrawn
         if not usable:  # ejected servers are better than none
             usable, can = set(can), {sid: self.capacity(sid, whole=True) for sid in can}
         warm = {sid for sid in usable if self.warmth(sid) >= 1}
@@ -414,7 +425,8 @@
             return part[number] * (COLD_MISS if sid in raw else MISS)
 
         def place(number: int) -> int | None:
-            for room in (min(ROOM, total / most), ROOM):  # first those not above the fleet's mean load
+            even = [] if self.set.tiers else [min(ROOM, total / most)]  # else the nearest are filled first
+            for room in [*even, ROOM]:  # first those not above the fleet's mean load
                 for sid in self.ranking(number):
                     if sid in usable and sid not in plan[number]:
                         allowed = base[sid] + (room * can[sid] - base[sid]) / self.set.instances
--- a/puffintide/store/service.py
+++ b/puffintide/store/service.py
@@ -12,6 +12,8 @@
     AnyMessage,
     Charge,
     Charges,
+    Hand,
+    Hands,
     Hello,
     Message,
     Read,
@@ -28,10 +30,13 @@
 
 
 class StoreService:
-    def __init__(self, reactor: Any, book: Book, deployment: str, log: Any) -> None:
+    def __init__(self, reactor: Any, book: Book, deployment: str, log: Any, zones: int = 1) -> None:
         self.reactor, self.book, self.deployment, self.log = reactor, book, deployment, log
         self.assigners: dict[int, Stream] = {}
         self.proxies: set[Stream] = set()
+        self.hands: dict[int, Hand] = {}  # by zone
+        self.zones = zones
+        self.hand_number = 0
 
     def factory(self) -> Acceptor:
         def me() -> Welcome:
@@ -44,7 +49,7 @@
         self.reactor.callLater(DUE_S, self.start)
 
     def _judge(self, hello: Greeting) -> str | None:
-        if hello.role not in ("assigner", "proxy"):
+        if hello.role not in ("assigner", "proxy", "operator"):
             return f"role {hello.role!r} is not served by the store"
         if isinstance(hello, Hello) and hello.deployment != self.deployment:
             return f"deployment {hello.deployment!r} is not {self.deployment!r}, which this store holds"
@@ -56,9 +61,13 @@
         match message:
             case Hello(role="assigner"):
                 self._joined(stream, message)
-            case Hello():
+            case Hello(role="proxy"):
                 stream.tag = ("proxy", message.id)
                 self.proxies.add(stream)
+            case Hello():
+                stream.tag = ("operator", message.id)
+            case Hand() if stream.tag and stream.tag[0] == "operator":
+                self._hand(stream, message)
             case Read():
                 for line in self._lines([self.book.charge(n) for n in sorted(self.book.slices)]):
                     stream.send_line(line)
@@ -80,6 +89,28 @@
         now = self.reactor.seconds()
         self.log.info("assigner_joined", assigner=hello.id, life=hello.start)
         self._apply(self.book.joined(now, hello.id))
+        if self.hands:
+            stream.send(Hands([self.hands[z] for z in sorted(self.hands)]))
+
+    def _hand(self, stream: Stream, hand: Hand) -> None:
+        if not 0 <= hand.zone < self.zones or hand.what not in ("drain", "hold", "return"):
+            stream.refuse(
+                f"{hand.what!r} of zone {hand.zone}: there are {self.zones} zones; drain, hold or return"
+            )
+            return
+        if not 0.1 <= hand.pace <= 10:
+            stream.refuse(f"pace {hand.pace:g} is not from 0.1 to 10")
+            return
+        self.hand_number += 1
+        kept = Hand(hand.zone, hand.what, hand.pace, hand.by[:100], self.hand_number)
+        self.hands[hand.zone] = kept
+        self.log.warning(
+            "hand", zone=kept.zone, what=kept.what, pace=kept.pace, by=kept.by, number=kept.number
+        )
+        told = Hands([self.hands[z] for z in sorted(self.hands)])
+        for assigner in sorted(self.assigners):
+            self.assigners[assigner].send(told)
+        stream.send(told)
 
     def _lost(self, stream: Stream, why: AnyMessage) -> None:
         self.proxies.discard(stream)
--- a/puffintide/wire/messages.py
+++ b/puffintide/wire/messages.py
@@ -183,6 +183,48 @@
     slices: int
 
 
+# The operator's hand -------------------------------------------------------------------------------
+
+
+class Hand(Message, tag="hand", frozen=True):
+    """An operator's order for a zone, to the store; from there to every assigner, and again when one joins."""
+
+    zone: int
+    what: str  # "drain", "hold" or "return"
+    pace: float = 1.0  # of steps, as a multiple of the usual
+    by: str = ""  # who ordered it, as told
+    number: int = 0  # given by the store; rises with each
+
+
+class Hands(Message, tag="hands", frozen=True):
+    """What stands for each zone."""
+
+    hands: list[Hand]
+
+
+class AskZones(Message, tag="ask_zones", frozen=True):
+    """Asks an assigner how it judges the zones."""
+
+
+class ZoneRow(msgspec.Struct, frozen=True, array_like=True):
+    zone: int
+    phase: str
+    cause: str
+    share: float  # of its usual servers that is there
+    bound: float  # least and most share of a server's capacity that is planned with
+    bound_most: float
+    held_s: float  # so long it is held out yet
+    flaps: int
+    spill: list[tuple[int, float]]
+    beyond: float
+
+
+class Zones(Message, tag="zones", frozen=True):
+    assigner: int
+    planned: bool  # False: this assigner has no zone plan
+    zones: list[ZoneRow]
+
+
 # List of servers ----------------------------------------------------------------------------------
 
 
@@ -308,6 +350,10 @@
     | Refused
     | Read
     | ReadEnd
+    | Hand
+    | Hands
+    | AskZones
+    | Zones
     | Watch
     | Fetch
     | News
--- /dev/null
+++ b/puffintide/zones/director.py
@@ -0,0 +1,34 @@
+"""The decision module with the zone plan before it: one decider for an assigner."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from puffintide import interface as api
+from puffintide.policy import Director
+from puffintide.zones.plan import View, ZoneLimits, ZonePlan
+
+
+class ZonedDirector:
+    """What comes in goes to the plan first, so that a loss is met with its bounds in the same round."""
+
+    def __init__(self, settings: api.Settings, limits: ZoneLimits) -> None:
+        self.director = Director(settings)
+        self.plan = ZonePlan(settings, limits)
+        self._told: dict[int, float] = {}
+
+    def handle(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
+        for event in events:
+            self.plan.observe(now, event)
+        bounds = self.plan.decide(now, self._view())
+        changed = [api.ServerBound(s, b) for s, b in sorted(bounds.items()) if self._told.get(s, 1.0) != b]
+        self._told = bounds
+        # Lists first, as a bound concerns a server that is known.
+        lists = [e for e in events if isinstance(e, api.ServerList)]
+        rest = [e for e in events if not isinstance(e, api.ServerList | api.ZoneHand)]
+        actions = self.director.handle(now, [*lists, *changed, *rest])
+        return actions + [api.Log(line) for line in self.plan.changes()]
+
+    def _view(self) -> dict[int, View]:
+        seen = self.director.servers
+        return {s: View(v.level > 0, v.load, self.director.warmth(s)) for s, v in sorted(seen.items())}
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -277,7 +277,7 @@
     conf["familyInfo"] = family
     world = World(slices=12)
     through = Through(conf)
-    world.director = through  # type: ignore[assignment]
+    world.director = through
     world.settings = replace(world.settings, slices=12)
     servers = tuple(api.Server(s, 0, 0, 0, 1, 1.0, 0.0) for s in (1, 2, 3, 4))
     events: list[api.Event] = [api.ServerList("cached", 1, servers)]
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import os
 import signal
 import subprocess
 import sys
@@ -257,3 +259,69 @@
             time.sleep(0.3)
     events = {row["event"] for row in around.log()}
     assert "store_lost" in events
+
+
+def zone(tmp: Path, words: list[str], store: int, assigners: str = "") -> subprocess.CompletedProcess[str]:
+    path = tmp / "operator.ini"
+    path.write_text(
+        "[deployment]\nname = t\nzones = a, b\nproxies = 3\nslices = 8\nassigners = 2\n"
+        "[class read]\naim_s = 1\ndeadline_s = 4\n"
+        f"[operator]\nstore = 127.0.0.1:{store}\nassigners = {assigners}\n"
+    )
+    command = [sys.executable, "-m", "puffintide", "zone", *words, "--config", str(path)]
+    return subprocess.run(
+        command, capture_output=True, text=True, timeout=30, env=os.environ | {"COLUMNS": "200"}
+    )
+
+
+def test_an_operators_order_stands_in_the_store_for_whoever_joins(tmp_path: Path) -> None:
+    port = PORTS.take()
+    with process(tmp_path, "store", {"listen": f"127.0.0.1:{port}"}):
+        here = dial(port, m.Hello(m.VERSION, "assigner", 0, 0, "t"))
+        here.until(lambda x: isinstance(x, m.Welcome))
+        done = zone(tmp_path, ["drain", "b", "--pace", "2"], port)
+        assert (done.returncode, "zone b: drain, pace 2" in done.stdout) == (0, True), done.stderr
+        told = here.until(lambda x: isinstance(x, m.Hands)).hands
+        later = dial(port, m.Hello(m.VERSION, "assigner", 1, 1, "t"))
+        assert later.until(lambda x: isinstance(x, m.Hands)).hands == told
+        assert [(h.zone, h.what, h.pace, h.number) for h in told] == [(1, "drain", 2.0, 1)]
+        assert "zone 'c' is unknown; allowed: a, b" in zone(tmp_path, ["hold", "c"], port).stderr
+        # The wire is not trusted to have been checked by the command, and a proxy has no hand.
+        for role, hand in (
+            ("operator", m.Hand(7, "hold")),
+            ("operator", m.Hand(0, "hold", 99.0)),
+            ("proxy", m.Hand(0, "hold")),
+        ):
+            stranger = dial(port, m.Hello(m.VERSION, role, 0, 0, "t"))
+            stranger.until(lambda x: isinstance(x, m.Welcome))
+            stranger.send(hand)
+            assert stranger.until(lambda x: isinstance(x, m.Refuse)).reason
+        zone(tmp_path, ["return", "b"], port)
+        assert [h.what for h in here.until(lambda x: isinstance(x, m.Hands)).hands] == ["return"]
+
+
+def test_a_held_zone_is_emptied_and_shown_and_the_order_outlives_the_assigner(
+    around: Around, tmp_path: Path
+) -> None:
+    for _ in range(2):  # the second life has it from the store
+        with around.assigner(reports={"names": "busy"}):
+            store, listed = around.store.accept("store"), around.list.accept("list")
+            listed.until(lambda x: isinstance(x, m.Watch))
+            listed.send(m.News("full", 1, servers(1, 1, 1, 1)))
+            proxy = around.proxy(0)
+            store.send(charges(server=0))
+            store.send(m.Hands([m.Hand(0, "hold", 1.0, "me", 1)]))
+            heat = [m.SliceSum(n, 0, 5, 0) for n in range(8)]
+            gone: set[int] = set()
+            end = time.monotonic() + 15
+            while len(gone) < 8:
+                assert time.monotonic() < end
+                proxy.send(m.Sums(0.5, [m.ServerSum(0, 40, 0, 2.0, [0.2])], heat))
+                with contextlib.suppress(TimeoutError):
+                    order = proxy.until(lambda x: isinstance(x, m.Order), 0.5)
+                    assert all(line.server % 2 for line in order.lines if line.weight >= 1)
+                    gone |= {line.table for line in order.lines if line.server == 0 and line.weight == 0}
+            shown = zone(tmp_path, ["show"], around.store.port, f"127.0.0.1:{around.port}")
+            assert shown.returncode == 0 and "drained" in shown.stdout and "by hand: hold" in shown.stdout
+    nobody = zone(tmp_path, ["show"], around.store.port, f"127.0.0.1:{around.port}")
+    assert nobody.returncode == 1 and "refused" in nobody.stdout
--- /dev/null
+++ b/tests/test_zones.py
@@ -0,0 +1,390 @@
+"""The zone plan: what it judges, what it bounds, and the module with it."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from puffintide import interface as api
+from puffintide.policy import FULL, Director
+from puffintide.zones.director import ZonedDirector
+from puffintide.zones.plan import (
+    DEGRADED,
+    HELD,
+    HOLD_S,
+    LOST,
+    RATE,
+    RETURNING,
+    START,
+    WELL,
+    View,
+    ZoneLimits,
+    ZonePlan,
+)
+from tests.world import World, server
+
+SERVERS = tuple(range(1, 9))  # odd ones in zone 1, even ones in zone 0
+ZONE = {s: s % 2 for s in SERVERS}
+
+
+def entry(sid: int, state: int = api.READY, started: float = 0.0, zone: int | None = None) -> api.Server:
+    return api.Server(sid, ZONE[sid] if zone is None else zone, 0, 0, state, 2.0, started)
+
+
+class Plan:
+    """A plan in quarter-second rounds, and what its servers are like."""
+
+    def __init__(self, spill: float = 0.5, zones: int = 2) -> None:
+        world = World()
+        self.plan = ZonePlan(replace(world.settings, zones=zones), ZoneLimits(spill))
+        self.now = 1000.0
+        self.view = {s: View(True, 0.5, 1.0) for s in SERVERS}
+        self.tell(api.ServerList("full", 1, tuple(entry(s) for s in SERVERS)))
+
+    def tell(self, *events: api.Event) -> None:
+        for event in events:
+            self.plan.observe(self.now, event)
+
+    def run(self, seconds: float) -> dict[int, float]:
+        found: dict[int, float] = {}
+        for _ in range(max(1, round(seconds * 4))):
+            self.now += 0.25
+            found = self.plan.decide(self.now, self.view)
+        return found
+
+    def zone(self, zone: int, state: int) -> None:
+        started = self.now if state == api.READY else 0.0
+        rows = tuple(entry(s, state, started) for s in SERVERS if ZONE[s] == zone)
+        self.tell(api.ServerList("delta", 2, rows))
+
+    def phase(self, zone: int) -> str:
+        return self.plan.states()[zone].phase
+
+    def ways(self, **failed: float) -> None:
+        """Tries of one zone's proxies at another's servers: w01=0.9 is those of zone 0 at zone 1, 90% failed."""
+        for name, share in failed.items():
+            of, to = int(name[1]), int(name[2])
+            for s in (s for s in SERVERS if ZONE[s] == to):
+                self.tell(api.LoadReport(of, s, 20, round(20 * share), 0.05, 0.5, ()))
+
+
+def test_a_lost_zone_spills_up_to_the_stated_limit_and_the_rest_is_told() -> None:
+    plan = Plan(spill=0.5)
+    plan.run(60)
+    plan.zone(0, api.GONE)
+    bounds = plan.run(1)
+    # The other's own usual load is 0.5 of it, and half of its spare may go to others: it is filled up to 0.75.
+    assert plan.phase(0) == LOST and all(FULL * bounds[s] == pytest.approx(0.75, abs=0.01) for s in bounds)
+    lost = plan.plan.states()[0]
+    assert lost.spill[0][0] == 1 and lost.spill[0][1] == pytest.approx(0.5, abs=0.03)
+    assert lost.beyond == pytest.approx(0.5, abs=0.03)
+
+
+def test_a_first_return_grows_while_it_is_stood_and_goes_back_when_not() -> None:
+    plan = Plan()
+    plan.run(20)
+    plan.zone(0, api.GONE)
+    plan.run(5)
+    plan.zone(0, api.READY)
+    seen = [plan.run(0.25)[2]]
+    assert plan.phase(0) == RETURNING and seen == [START]
+    for _ in range(3):
+        seen.append(plan.run(2)[2])
+    assert seen[1:] == pytest.approx([START + 2 * RATE, START + 4 * RATE, START + 6 * RATE])
+    plan.view = {s: View(True, 0.99, 1.0) for s in SERVERS}
+    assert plan.run(2)[2] == pytest.approx(START + 4 * RATE)
+    plan.view = {s: View(True, 0.5, 1.0) for s in SERVERS}
+    plan.run(1 / RATE)
+    assert plan.phase(0) == WELL and set(plan.run(1).values()) == {1.0}
+
+
+def test_cold_servers_are_left_to_the_module_and_a_return_ends_when_they_are_warm() -> None:
+    plan = Plan()
+    plan.run(20)
+    plan.zone(0, api.GONE)
+    plan.run(5)
+    plan.view |= {s: View(True, 0.2, 0.6) for s in SERVERS if ZONE[s] == 0}
+    plan.zone(0, api.READY)
+    assert plan.run(30)[2] == 1.0 and plan.phase(0) == RETURNING
+    plan.view |= {s: View(True, 0.2, 1.0) for s in SERVERS if ZONE[s] == 0}
+    plan.run(0.5)
+    assert plan.phase(0) == WELL
+
+
+def test_a_server_that_falls_on_return_waits_until_the_rest_is_done() -> None:
+    plan = Plan()
+    plan.run(20)
+    plan.zone(0, api.GONE)
+    plan.run(5)
+    plan.zone(0, api.READY)
+    plan.run(2)
+    plan.tell(api.ServerList("delta", 3, (entry(2, api.GONE),)))
+    plan.run(0.5)
+    plan.tell(api.ServerList("delta", 4, (entry(2, api.READY, plan.now),)))
+    rest: list[float] = []
+    while plan.phase(0) == RETURNING:
+        bounds = plan.run(1)
+        rest.append(bounds[4])
+        assert bounds[2] <= START or rest[-1] == 1.0
+    assert rest[0] < 1.0 and plan.run(1)[2] == 1.0
+
+
+@pytest.mark.parametrize("period", [3, 8, 20, 60])
+def test_flaps_cost_few_returns(period: int) -> None:
+    plan = Plan()
+    plan.run(20)
+    returns = 0
+    for _ in range(240 // period):
+        plan.zone(0, api.GONE)
+        plan.run(period / 2)
+        plan.zone(0, api.READY)
+        before = plan.phase(0)
+        for _ in range(period * 2):
+            plan.run(0.25)
+            if plan.phase(0) == RETURNING and before != RETURNING:
+                returns += 1
+            before = plan.phase(0)
+    assert returns <= 3  # of 240 / period times that the list told it ready
+    plan.run(200)
+    assert plan.phase(0) == WELL
+
+
+def test_a_hold_is_not_ended_by_the_list() -> None:
+    plan = Plan()
+    plan.run(20)
+    for _ in range(2):
+        plan.zone(0, api.GONE)
+        plan.run(2)
+        plan.zone(0, api.READY)
+        plan.run(1)
+    assert plan.phase(0) == HELD and plan.run(HOLD_S - 2)[2] == 0.0
+    plan.run(3)
+    assert plan.phase(0) == RETURNING
+
+
+def test_a_deploy_is_no_loss() -> None:
+    plan = Plan()
+    plan.run(20)
+    for s in (2, 4, 6):
+        for state in (api.DRAINING, api.GONE):
+            plan.tell(api.ServerList("delta", 2, (entry(s, state),)))
+            plan.run(3)
+    assert plan.phase(0) == WELL
+    assert set(plan.run(1).values()) == {1.0}
+
+
+def test_silent_servers_are_a_loss_unless_all_zones_are_silent() -> None:
+    plan = Plan()
+    plan.run(20)
+    plan.view |= {s: View(False, None, 1.0) for s in SERVERS if ZONE[s] == 0}
+    plan.run(1)
+    assert (plan.phase(0), plan.plan.states()[0].cause) == (LOST, "silent")
+    other = Plan()
+    other.run(20)
+    other.view = {s: View(False, None, 1.0) for s in SERVERS}
+    assert set(other.run(5).values()) == {1.0}
+    assert {s.phase for s in other.plan.states()} == {WELL}
+
+
+@pytest.mark.parametrize(
+    ("ways", "phase", "cause"),
+    [
+        ({"w00": 0.0, "w11": 0.0, "w01": 0.6, "w10": 0.6}, DEGRADED, "link"),
+        ({"w00": 0.0, "w11": 0.0, "w01": 0.0, "w10": 0.6}, DEGRADED, "one-sided"),
+        ({"w00": 0.6, "w11": 0.6, "w01": 0.6, "w10": 0.6}, WELL, ""),  # a common slowdown
+    ],
+)
+def test_a_bad_way_is_told_from_a_lost_zone_and_nothing_is_moved(
+    ways: dict[str, float], phase: str, cause: str
+) -> None:
+    plan = Plan()
+    plan.run(20)
+    for _ in range(8):
+        plan.ways(**ways)
+        bounds = plan.run(0.5)
+    assert (plan.phase(0), plan.plan.states()[0].cause) == (phase, cause)
+    assert set(bounds.values()) == {1.0}
+
+
+def test_reports_that_stop_are_told_from_a_loss() -> None:
+    plan = Plan()
+    plan.tell(api.ProxyJoined(1, 0, 1.0, True), api.ProxyJoined(2, 1, 1.0, True))
+    for _ in range(20):
+        plan.ways(w11=0.0, w10=0.0)  # nothing of zone 0's proxies
+        plan.tell(*(api.ProbeResult(s, 0, 0.01, ()) for s in SERVERS))
+        bounds = plan.run(0.5)
+    assert plan.plan.states()[0].cause == "reports" and set(bounds.values()) == {1.0}
+
+
+def test_two_of_three_zones_lost_one_after_the_other() -> None:
+    plan = Plan(spill=0.5, zones=3)
+    plan.tell(api.ServerList("full", 2, tuple(entry(s, zone=s % 3) for s in SERVERS)))
+    plan.run(30)
+    for zone in (0, 1):
+        rows = tuple(entry(s, api.GONE, zone=zone) for s in SERVERS if s % 3 == zone)
+        plan.tell(api.ServerList("delta", 3, rows))
+        bounds = plan.run(5)
+    assert [s.phase for s in plan.plan.states()] == [LOST, LOST, WELL]
+    # The limit is from its own load in ordinary times: a second loss does not raise it.
+    assert list(bounds.values()) == pytest.approx([0.75 / FULL] * len(bounds), abs=0.01)
+
+
+def test_the_hand_drains_by_steps_holds_at_once_and_returns_at_its_pace() -> None:
+    plan = Plan()
+    plan.run(20)
+    plan.tell(api.ZoneHand(0, "drain", 2.0))
+    falling = [plan.run(1)[2] for _ in range(8)]
+    assert falling == sorted(falling, reverse=True) and 0 < falling[1] < 1 and falling[-1] == 0.0
+    plan.tell(api.ZoneHand(0, "return", 1.0))
+    assert plan.run(0.25)[2] == pytest.approx(START + RATE / 4)
+    plan.tell(api.ZoneHand(0, "hold", 1.0))
+    assert plan.run(0.25)[2] == 0.0
+    assert plan.run(500)[2] == 0.0  # as long as it stands
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["gone", "ready", "drain", "silent", "answer", "hot", "cool", "hold", "return", "wait"]
+        ),
+        st.integers(0, 1),
+        st.integers(1, 12),
+    ),
+    max_size=25,
+)
+
+
+@settings(max_examples=150, deadline=None)
+@given(STEPS)
+def test_whatever_happens_a_return_stays_within_its_steps_and_a_hold_is_kept(
+    steps: list[tuple[str, int, int]],
+) -> None:
+    plan = Plan()
+    plan.run(15)
+    last: dict[int, float] = {}
+    held_until = {0: 0.0, 1: 0.0}
+    for what, zone, quarters in steps:
+        ids = [s for s in SERVERS if ZONE[s] == zone]
+        match what:
+            case "gone" | "ready":
+                plan.zone(zone, api.GONE if what == "gone" else api.READY)
+            case "drain":
+                plan.tell(api.ServerList("delta", 2, tuple(entry(s, api.DRAINING) for s in ids)))
+            case "silent" | "answer":
+                plan.view |= {s: View(what == "answer", 0.5, 1.0) for s in ids}
+            case "hot" | "cool":
+                plan.view |= {s: View(True, 0.99 if what == "hot" else 0.3, 1.0) for s in ids}
+            case "hold" | "return":
+                plan.tell(api.ZoneHand(zone, what, 1.0))
+        for _ in range(quarters):
+            phases = {z: s.phase for z, s in enumerate(plan.plan.states())}
+            bounds = plan.run(0.25)
+            assert all(0.0 <= b <= 1.0 for b in bounds.values())
+            for z, state in enumerate(plan.plan.states()):
+                if state.phase == HELD:
+                    held_until[z] = state.until
+                    assert all(b == 0 for s, b in bounds.items() if ZONE[s] == z)
+                if phases[z] == HELD and state.phase == RETURNING:
+                    assert plan.now >= held_until[z]
+                if state.phase == RETURNING and phases[z] == RETURNING:
+                    for s in (s for s in bounds if ZONE[s] == z and s in last):
+                        assert bounds[s] <= max(last[s], START) + RATE
+            last = bounds
+
+
+def test_between_lost_and_back_nothing_flips() -> None:
+    plan = Plan()
+    plan.run(20)
+    plan.zone(0, api.GONE)
+    plan.run(1)
+    plan.tell(api.ServerList("delta", 2, (entry(2, api.READY, plan.now),)))  # one of four
+    plan.run(5)
+    assert plan.phase(0) == LOST
+    plan.tell(api.ServerList("delta", 2, (entry(4, api.READY, plan.now),)))
+    plan.run(1)
+    assert plan.phase(0) == RETURNING
+
+
+# With the module ---------------------------------------------------------------------------------
+
+
+class Zoned(World):
+    make = staticmethod(lambda settings: ZonedDirector(settings, ZoneLimits()))
+
+    def zone(self, zone: int, state: int) -> None:
+        """Struck from the list or told again; its servers go on running all the time."""
+        ids = [s for s in self.capacity if s % 2 == zone]
+        self.tell(api.ServerList("delta", 2, tuple(server(s, state) for s in ids)))
+
+    def waves(self, since: float) -> list[int]:
+        """New lines of each batch of orders."""
+        made = [
+            sum(isinstance(a, api.SetLine) and a.weight >= 1 for a in acts)
+            for t, acts in self.log
+            if t >= since
+        ]
+        return [n for n in made if n]
+
+
+class Plain(Zoned):
+    make = staticmethod(Director)  # type: ignore[assignment]
+
+
+def eight(make: type[Zoned], **changes: object) -> Zoned:
+    world = make(servers=SERVERS, slices=64, proxies=3, **changes)
+    world.heat = dict.fromkeys(world.heat, 1.2)  # 0.32 of the capacity
+    world.run(30)
+    return world
+
+
+def test_a_warm_return_comes_in_smaller_waves_than_without_the_plan() -> None:
+    largest = {}
+    for make in (Plain, Zoned):
+        world = eight(make)
+        world.zone(0, api.GONE)
+        world.run(12)
+        assert all(world.open(n) for n in world.tables)
+        began = world.now
+        world.zone(0, api.READY)
+        world.run(60)
+        home = sum(world.load(s) for s in SERVERS if s % 2 == 0)
+        assert home > 0.8 * 38.4  # of what stood there before
+        largest[make] = max(world.waves(began))
+    assert largest[Zoned] < 0.7 * largest[Plain], largest
+
+
+def test_a_drain_by_hand_empties_a_zone_as_far_as_there_is_room_and_never_a_slice() -> None:
+    world = eight(Zoned)
+    world.tell(api.ZoneHand(0, "drain", 1.0))
+    world.run(30)
+    assert all(s % 2 for n in world.tables for s in world.main(n))
+    assert all(world.open(n) for n in world.tables)
+    world.tell(api.ZoneHand(1, "hold", 1.0))  # now all are out: tables stay, and new ones are filled
+    world.tables[3] = {}
+    world.tell(api.SliceCharge(3, False), api.SliceCharge(3, True))
+    world.run(10)
+    assert all(world.open(n) for n in world.tables)
+
+
+def test_a_full_zone_is_not_pushed_over_by_a_drain() -> None:
+    world = eight(Zoned)
+    world.heat = dict.fromkeys(world.heat, 3.2)  # 0.85: one zone can't carry both
+    world.run(20)
+    world.tell(api.ZoneHand(0, "drain", 1.0))
+    world.run(40)
+    for s in SERVERS:
+        assert world.load(s) <= 1.1 * world.capacity[s]
+
+
+def test_with_tiers_a_lost_servers_slices_stay_in_its_zone() -> None:
+    spread = {}
+    for tiers in ((), ((0, 1), (1, 0))):
+        world = eight(Zoned, tiers=tiers)
+        mine = [n for n in world.tables if world.main(n) == {2}]
+        world.tell(api.ServerList("delta", 2, (server(2, api.GONE),)))
+        world.run(3)
+        spread[bool(tiers)] = {s % 2 for n in mine for s in world.main(n)}
+    assert spread == {False: {0, 1}, True: {0}}
--- a/tests/world.py
+++ b/tests/world.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from typing import Any
 
@@ -59,9 +59,11 @@
 class World:
     """One assigner, its servers and the store; rates are given, loads follow from the tables."""
 
+    make: Callable[[api.Settings], Any] = Director
+
     def __init__(self, servers: Sequence[int] = (1, 2, 3, 4), **changes: Any) -> None:
         self.settings = settings(**changes)
-        self.director = Director(self.settings)
+        self.director = self.make(self.settings)
         self.now = START
         self.tables: dict[int, dict[int, float]] = {}
         self.log: list[tuple[float, list[api.Action]]] = []
@@ -83,7 +85,7 @@
         self.tell(*events)
 
     def tell(self, *events: api.Event) -> list[api.Action]:
-        actions = self.director.handle(self.now, events)
+        actions: list[api.Action] = self.director.handle(self.now, events)
         self.log.append((self.now, actions))
         lines = sum(isinstance(a, api.SetLine | api.Admit | api.Withdraw | api.Mark) for a in actions)
         if lines:
