Store: kept in a file that survives kills and power cuts; tenures, readings from a revision

Need: tables and charge were in memory alone, and a store that came back took tables back to what it knew.

--- a/puffintide/assigner/runtime.py
+++ b/puffintide/assigner/runtime.py
@@ -63,6 +63,7 @@
         self.addresses: dict[int, str] = {}
         self.zones: dict[int, int] = {}
         self.tokens: dict[int, int] = {}  # slices in charge
+        self.tenures: dict[int, int] = {}  # first token of the unbroken tenure of each
         self.withdrawn: set[int] = set()
         self.levels: list[Level] = []  # for every table: they go along with later messages to new proxies
         self._tables: dict[int, dict[int, float]] = {}  # without slices: by number
@@ -105,8 +106,14 @@
         return self._started[key]
 
     def charge(self, now: float, charge: Charge) -> None:
-        """A slice is given, with its table."""
-        self.tokens[charge.slice] = charge.token
+        """A slice is given, with its table. In an unbroken tenure it has been ours all the time, whatever the store
+        missed: the module goes on with the table it knows."""
+        goes_on = (
+            charge.slice in self.tokens and charge.since and self.tenures.get(charge.slice) == charge.since
+        )
+        self.tokens[charge.slice], self.tenures[charge.slice] = charge.token, charge.since
+        if goes_on:
+            return
         self.addresses.update({h.server: h.address for h in charge.lines if h.address})
         stored = [api.StoredLine(charge.slice, h.server, h.weight) for h in charge.lines]
         self.hear(now, api.SliceCharge(charge.slice, True), *stored)
--- a/puffintide/assigner/service.py
+++ b/puffintide/assigner/service.py
@@ -42,6 +42,7 @@
         self.zoned = ZonedDirector(self.settings, limits) if config.zones.plan else None
         zoned = self.zoned
         self.runtime = Runtime(self.settings, (lambda _: zoned) if zoned is not None else Director)
+        self.unkept: dict[tuple[int, int], tuple[int, m.Line]] = {}  # by table and server: batch, line
         self.hands: dict[int, int] = {}  # number of the order that stands, by zone
         self.channel = Channel(
             self.settings.channel_lines_per_s, self.settings.channel_limit, self.settings.messages_span_s
@@ -70,6 +71,10 @@
         name = self.config.deployment.name
         return m.Hello(m.VERSION, "assigner", self.me.id, self.me.zone, name, start=self.life)
 
+    def store_hello(self) -> m.Hello:
+        token = max(self.runtime.tokens.values(), default=0)
+        return msgspec.structs.replace(self.hello(), token=token)
+
     def factory(self) -> Acceptor:
         def me() -> m.Welcome:
             return m.Welcome(m.VERSION, "assigner", self.me.id, self.life)
@@ -88,7 +93,7 @@
 
     def start(self) -> None:
         self._load_list()
-        self._dial(self.me.store, self._from_store, self._store_lost)
+        self._dial(self.me.store, self._from_store, self._store_lost, self.store_hello)
         self._dial(self.me.list, self._from_list, self._list_lost)
         for number, address in enumerate(self.me.peers):
             if number != self.me.id:
@@ -97,8 +102,15 @@
         self.reactor.callLater(self.settings.report_period_s, self._gather)
         self.reactor.callLater(STATS_S, self._stats)
 
-    def _dial(self, address: str, heard: Handler, lost: Callable[[str], None] | None) -> Dialler:
-        return Dialler(self.reactor, address, self.hello, heard, lost, self.draw, tls=self.tls).start()
+    def _dial(
+        self,
+        address: str,
+        heard: Handler,
+        lost: Callable[[str], None] | None,
+        hello: Callable[[], m.Hello] | None = None,
+    ) -> Dialler:
+        made = hello or self.hello
+        return Dialler(self.reactor, address, made, heard, lost, self.draw, tls=self.tls).start()
 
     def now(self) -> float:
         return float(self.reactor.seconds())
@@ -169,9 +181,11 @@
                 self.store = stream
                 self.log.info("store_reached")
             case m.Charges():
+                given = {c.slice for c in message.charges if c.assigner == self.me.id}
                 for charge in message.charges:
-                    if charge.assigner == self.me.id:
+                    if charge.slice in given:
                         self.runtime.charge(now, charge)
+                self._write_again(given)
             case m.Hands():
                 for hand in message.hands:
                     if hand.number != self.hands.get(hand.zone):
@@ -179,13 +193,27 @@
                         self.runtime.hear(now, api.ZoneHand(hand.zone, hand.what, hand.pace))
                         self.log.warning("hand", zone=hand.zone, what=hand.what, by=hand.by)
             case m.Taken():
+                self.unkept = {k: row for k, row in self.unkept.items() if k[0] != message.slice}
                 self.runtime.taken(now, message.slice)
                 self.reports.forget_slice(message.slice)
                 self.log.info("slice_taken", slice=message.slice)
+            case m.Written():
+                self.unkept = {k: row for k, row in self.unkept.items() if row[0] > message.batch}
             case m.Refused():
                 self.log.warning("write_refused", slice=message.slice, reason=message.reason)
         self._schedule()
 
+    def _write_again(self, slices: set[int]) -> None:
+        """What the store had not kept when it went away, under the tokens that hold now."""
+        rows = [(k, row) for k, row in self.unkept.items() if k[0] in slices]
+        lines = [
+            msgspec.structs.replace(line, token=self.runtime.tokens[table]) for (table, _), (_, line) in rows
+        ]
+        if lines and self.store is not None:
+            batch = max(row[0] for _, row in rows)
+            self.store.send(m.Write(batch, lines, []))
+            self.log.info("write_again", batch=batch, lines=len(lines))
+
     def _store_lost(self, why: str) -> None:
         if self.store is not None:
             self.log.warning("store_lost", reason=why)
@@ -283,10 +311,13 @@
     def _act(self, now: float, effects: Effects) -> None:
         self.rounds += 1
         if effects.writes or effects.clears:
+            for line in effects.writes:
+                self.unkept.pop((line.table, line.server), None)  # the newest goes last
+                self.unkept[line.table, line.server] = (effects.batch, line)
             if self.store is not None:
                 self.store.send(m.Write(effects.batch, effects.writes, effects.clears))
             else:
-                self.log.warning("write_lost", batch=effects.batch, lines=len(effects.writes))
+                self.log.warning("write_waits", batch=effects.batch, lines=len(effects.writes))
         for proxy, order in effects.orders:
             self.channel.put(proxy, order)
             if order.mark is not None:
--- a/puffintide/cli/hand.py
+++ b/puffintide/cli/hand.py
@@ -26,6 +26,7 @@
     assert config.operator is not None
     reactor: Any = monotonic_reactor()
     found: dict[int, AnyMessage | str] = {}
+    read: list[m.Charge] = []
     hello = m.Hello(m.VERSION, "operator", config.operator.id, 0, config.deployment.name)
 
     def took(number: int, answer: AnyMessage | str) -> None:
@@ -37,7 +38,11 @@
         def heard(stream: Stream, answer: AnyMessage) -> None:
             if isinstance(answer, m.Welcome):
                 stream.send(message)
-            elif isinstance(answer, m.Hands | m.Zones):
+            elif isinstance(answer, m.Charges):
+                read.extend(answer.charges)
+            elif isinstance(answer, m.ReadEnd):
+                took(number, m.Charges(list(read)))
+            elif isinstance(answer, m.Hands | m.Zones | m.Done):
                 took(number, answer)
             elif isinstance(answer, m.Refuse):
                 took(number, answer.reason)
@@ -72,6 +77,26 @@
     return answer
 
 
+def to_store(config: Config, message: m.Message, tls: Contexts | None = None) -> str:
+    """An order to the store; what it said. Raises HandError."""
+    assert config.operator is not None
+    answer = ask(config, [(config.operator.store, message)], tls)[0]
+    if isinstance(answer, m.Done):
+        return answer.note
+    if not isinstance(answer, m.Hands):
+        raise HandError(f"store {config.operator.store}: {answer}")
+    return ""
+
+
+def charges(config: Config, tls: Contexts | None = None) -> list[m.Charge]:
+    """Tables and charge as the store has kept them. Raises HandError."""
+    assert config.operator is not None
+    answer = ask(config, [(config.operator.store, m.Read())], tls)[0]
+    if not isinstance(answer, m.Charges):
+        raise HandError(f"store {config.operator.store}: {answer}")
+    return answer.charges
+
+
 def show(config: Config, tls: Contexts | None = None) -> dict[str, m.Zones | str]:
     """How each assigner judges the zones, by address; a text where it did not tell."""
     assert config.operator is not None
--- a/puffintide/cli/main.py
+++ b/puffintide/cli/main.py
@@ -57,15 +57,167 @@
     run_assigner(_load(path, "assigner"), life)
 
 
-@cli.command()
-@click.option("--config", "path", required=True, help="INI file with a [store] section.")
-def store(path: str) -> None:
-    """Runs the store of tables and charge."""
+@cli.group(invoke_without_command=True)
+@click.option("--config", "path", default="", help="INI file with a [store] section.")
+@click.pass_context
+def store(context: click.Context, path: str) -> None:
+    """Runs the store of tables and charge; with a command, looks after what it keeps."""
     from puffintide.cli.processes import run_store
 
+    if context.invoked_subcommand is not None:
+        return
+    if not path:
+        raise Failure("--config is missing")
     run_store(_load(path, "store"))
 
 
+OPERATOR = click.option("--config", "path", required=True, help="INI file with an [operator] section.")
+
+
+@store.command("backup")
+@click.argument("name")
+@OPERATOR
+def store_backup(name: str, path: str) -> None:
+    """Has a running store write a backup NAME into its folder for them."""
+    from puffintide.wire.messages import Backup
+
+    click.echo(_order(path, Backup(name)))
+
+
+@store.command("restore")
+@click.argument("backup")
+@click.argument("file")
+def store_restore(backup: str, file: str) -> None:
+    """Puts BACKUP in place of a stopped store's FILE, which is kept as FILE.before."""
+    from puffintide.store.engine import StoreError
+    from puffintide.store.sqlite import restore
+
+    try:
+        image = restore(backup, file)
+    except (StoreError, OSError) as error:
+        raise Failure(str(error)) from None
+    click.echo(f"{file}: revision {image.revision}, {len(image.slices)} slices, now store {image.identity}")
+
+
+@store.command("verify")
+@click.argument("file")
+def store_verify(file: str) -> None:
+    """Checks every row of a stopped store's FILE, or of a backup. Exit 1 if something is damaged."""
+    from puffintide.store.engine import StoreError
+    from puffintide.store.sqlite import SqliteEngine
+
+    _there(file)
+    try:
+        engine = SqliteEngine(file)
+        found = engine.problems()
+        engine.close()
+    except StoreError as error:
+        found = [str(error)]
+    for line in found:
+        click.echo(line)
+    if found:
+        sys.exit(1)
+    click.echo(f"{file}: whole")
+
+
+@store.command("dump")
+@click.argument("file")
+def store_dump(file: str) -> None:
+    """Prints what a stopped store's FILE, or a backup, holds, as JSON lines."""
+    import json
+
+    from puffintide.store.engine import StoreError
+    from puffintide.store.sqlite import SqliteEngine
+
+    _there(file)
+    try:
+        engine = SqliteEngine(file)
+        image = engine.load()
+        engine.close()
+    except StoreError as error:
+        raise Failure(str(error)) from None
+    click.echo(json.dumps({"store": image.identity, "revision": image.revision, "token": image.token}))
+    for number, state in sorted(image.slices.items()):
+        lines = [[h.server, h.weight, h.address] for h in state.lines]
+        row = {"slice": number, "assigner": state.assigner, "token": state.token, "pin": state.pin}
+        click.echo(json.dumps(row | {"revision": image.revisions[number], "lines": lines}))
+    for name, hand in sorted(image.hands.items()):
+        click.echo(json.dumps({"zone": name, "hand": hand.what, "pace": hand.pace, "by": hand.by}))
+
+
+def _there(file: str) -> None:
+    if not Path(file).is_file():
+        raise Failure(f"{file}: is not there")
+
+
+def _order(path: str, message: Any) -> str:
+    """An operator's order to the store of a configuration; what it answered."""
+    from puffintide.cli.hand import HandError, to_store
+    from puffintide.cli.processes import tls_of
+
+    config = _load(path, "operator")
+    try:
+        return to_store(config, message, tls_of(config))
+    except HandError as error:
+        raise Failure(str(error)) from None
+
+
+@cli.group()
+def charge() -> None:
+    """Who has charge of which slices; needs an [operator] section."""
+
+
+@charge.command("move")
+@click.argument("slices")
+@click.argument("assigner", type=int)
+@OPERATOR
+def charge_move(slices: str, assigner: int, path: str) -> None:
+    """Gives SLICES, such as 3,7 or 10-19, a home at ASSIGNER; -1 takes that back. They go there by and by."""
+    from puffintide.wire.messages import Move
+
+    numbers: list[int] = []
+    for word in slices.split(","):
+        first, dash, last = word.partition("-")
+        if (
+            not first.isdigit()
+            or (dash and not last.isdigit())
+            or (dash and int(last) - int(first) > 100_000)
+        ):
+            raise Failure(f"slices {slices!r}: must be numbers or ranges, such as 3,7 or 10-19")
+        numbers += range(int(first), int(last if dash else first) + 1)
+    _order(path, Move(numbers, assigner, "operator"))
+    click.echo(f"{len(numbers)} slices have their home at assigner {assigner}")
+
+
+@charge.command("show")
+@OPERATOR
+def charge_show(path: str) -> None:
+    """How many slices each assigner has, and which."""
+    from puffintide.cli.hand import HandError, charges
+    from puffintide.cli.processes import tls_of
+
+    config = _load(path, "operator")
+    try:
+        found = charges(config, tls_of(config))
+    except HandError as error:
+        raise Failure(str(error)) from None
+    table = Table("assigner", "slices", "which")
+    for number in sorted({c.assigner for c in found}):
+        mine = [c.slice for c in found if c.assigner == number]
+        table.add_row("nobody" if number < 0 else str(number), str(len(mine)), _ranges(mine))
+    out_console.print(table)
+
+
+def _ranges(numbers: list[int]) -> str:
+    parts: list[list[int]] = []
+    for n in sorted(numbers):
+        if parts and n == parts[-1][-1] + 1:
+            parts[-1] = [parts[-1][0], n]
+        else:
+            parts.append([n])
+    return ", ".join("-".join(map(str, p)) for p in parts[:20]) + (", ..." if len(parts) > 20 else "")
+
+
 @cli.command()
 @click.option("--config", "path", required=True, help="INI file with a [proxy] section.")
 def proxy(path: str) -> None:
--- a/puffintide/cli/processes.py
+++ b/puffintide/cli/processes.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import Any, cast
 
+from twisted.internet.defer import maybeDeferred
 from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import connectionDone
 from twisted.internet.stdio import StandardIO
@@ -97,26 +98,56 @@
     log.info("stopped")
 
 
+def _name(folder: str, name: str) -> str:
+    """A backup's path. Raises ValueError: a name is no path."""
+    if not name or name.startswith(".") or "/" in name or len(name) > 100:
+        raise ValueError(f"{name[:100]!r} is no name of a file")
+    return str(Path(folder) / name)
+
+
 def run_store(config: Config) -> None:
+    from twisted.internet.threads import deferToThreadPool
+    from twisted.python.threadpool import ThreadPool
+
     from puffintide.store.book import Book
+    from puffintide.store.engine import Engine, Memory, StoreError
     from puffintide.store.service import StoreService
+    from puffintide.store.sqlite import SqliteEngine
     from puffintide.store.tables import TableError, read_tables
 
     assert config.store is not None
+    me, d = config.store, config.deployment
     reactor = monotonic_reactor()
-    log = setup("store", config.store.log, config.store.level)
-    d = config.deployment
-    book = Book(d.slices, d.assigners, config.charge.takeover_s, d.single_writer, opened=reactor.seconds())
-    if config.store.start_tables:
-        try:
-            book.load(read_tables(config.store.start_tables, d.slices))
-        except TableError as error:
-            print(f"puffintide: {error}", file=sys.stderr)
-            sys.exit(2)
-    service = StoreService(reactor, book, d.name, log, len(d.zones))
-    _listen(reactor, config.store.listen, service.factory(), _tls(config, log))
+    log = setup("store", me.log, me.level)
+    book = Book(
+        d.slices, d.assigners, config.charge.takeover_s, d.single_writer,
+        opened=reactor.seconds(), moves_per_s=config.charge.moves_per_s,
+    )  # fmt: skip
+    pool = ThreadPool(1, 1, "engine")  # one thread: an engine's calls follow each other
+    try:
+        engine: Engine = SqliteEngine(me.file) if me.file else Memory()
+        image = engine.load()
+        book.restore(image)
+        if me.start_tables and not image.slices:
+            book.load(read_tables(me.start_tables, d.slices))
+    except (TableError, StoreError) as error:
+        print(f"puffintide: {error}", file=sys.stderr)
+        sys.exit(2)
+    service = StoreService(
+        reactor, book, d.name, log, engine, image, len(d.zones),
+        run=(lambda call, *args: deferToThreadPool(reactor, pool, call, *args)) if me.file else maybeDeferred,
+        streams_most=me.streams_most,
+        backups=(lambda name: _name(me.backups, name)) if me.file and me.backups else None,
+    )  # fmt: skip
+    _listen(reactor, me.listen, service.factory(), _tls(config, log))
+    log.info(
+        "started", file=me.file, identity=image.identity, revision=image.revision, slices=len(image.slices)
+    )
+    reactor.callWhenRunning(pool.start)
+    reactor.addSystemEventTrigger("during", "shutdown", pool.stop)
     service.start()
     _run(reactor)
+    engine.close()
 
 
 def run_proxy(config: Config) -> None:
--- a/puffintide/config/schema.py
+++ b/puffintide/config/schema.py
@@ -113,6 +113,9 @@
 class StoreSection(Section):
     takeover_s: Positive = 2.5
     write_lease_s: Positive = 1.5
+    moves_per_s: Positive = (
+        200.0  # slices that go home to an assigner that is back, or where an operator moved them
+    )
     reread_s: Positive = 1.0  # a proxy that joins reads the store at once, and again so long after
 
 
@@ -207,6 +210,9 @@
 
 class StoreProcess(Process):
     listen: Address
+    file: str = ""  # where tables and charge are kept; empty: in memory alone, lost at the end
+    backups: str = ""  # a folder for backups that an operator orders; empty: none are taken
+    streams_most: Count = 5000
     start_tables: str = ""  # a file of first tables, JSON lines of Charge
 
 
@@ -271,7 +277,7 @@
     "crash", "hang", "slow", "pauses", "report_late", "hot_key", "heavy_tail", "zone_loss", "deploy", "shrink",
     "grow", "balancer_crash", "balancer_stop", "shared_slow", "counter_down", "give_up", "preempt", "slow_link",
     "one_sided", "conn_squeeze", "false_reports", "handshake_slow", "mass_restart", "shift", "store_down",
-    "list_down", "slow_reader", "zone_flap",
+    "list_down", "slow_reader", "zone_flap", "store_crash",
 )  # fmt: skip
 
 
--- a/puffintide/days/faults.py
+++ b/puffintide/days/faults.py
@@ -138,6 +138,8 @@
             who = [f"assigner:{k}" for k in fault.assigners or [0]]
             on, off = ("kill", "start") if fault.kind == "balancer_crash" else ("stop", "wake")
             return [process(begin, on, *who), process(end, off, *who)]
+        case "store_crash":  # killed; it starts again from what it has kept
+            return [process(begin, "kill", "store"), process(end, "start", "store")]
         case "store_down":
             return [process(begin, "stop", "store"), process(end, "wake", "store")]
         case "list_down":
--- a/puffintide/days/kinds.py
+++ b/puffintide/days/kinds.py
@@ -43,6 +43,7 @@
     "mass_restart": {"part": "0.35", "for_s": "4", "extra": "0.3"},
     "shift": {"for_s": "10", "size": "0.6", "zone": "1"},
     "store_down": {"for_s": "10"},
+    "store_crash": {"for_s": "3"},
     "list_down": {"for_s": "10"},
     "slow_reader": {"part": "0.25", "for_s": "10"},
 }
--- a/puffintide/proxy/service.py
+++ b/puffintide/proxy/service.py
@@ -88,6 +88,7 @@
         self.asks: dict[int, tuple[Stream, int]] = {}  # reference: client and its own number
         self.met: set[int] = set()
         self.store: Stream | None = None
+        self.read: tuple[int, str] = (-1, "")  # revision and identity of the store's last reading
         self.reread: Any = None
         self.timer: Any = None
         self.saved_version = 0
@@ -134,7 +135,10 @@
         def made() -> m.Hello:
             fresh = assigner not in self.met
             self.met.add(assigner)
-            return m.Hello(m.VERSION, "proxy", self.me.id, self.me.zone, self.deployment, fresh=fresh)
+            token = self.engine.tables.token_most if assigner < 0 else 0
+            return m.Hello(
+                m.VERSION, "proxy", self.me.id, self.me.zone, self.deployment, fresh=fresh, token=token
+            )
 
         return made
 
@@ -168,14 +172,13 @@
     def _read_store(self) -> None:
         """Orders of the time without a stream are lost to us. They are in the store, or on their way to it: so a
         second reading follows the first."""
-        if self.store is not None:
-            self.store.send(m.Read())
+        self._read_again()
         if self.reread is None or not self.reread.active():
             self.reread = self.reactor.callLater(self.config.charge.reread_s, self._read_again)
 
     def _read_again(self) -> None:
         if self.store is not None:
-            self.store.send(m.Read())
+            self.store.send(m.Read(*self.read))
 
     def _store_lost(self, why: str) -> None:
         self.store = None
@@ -190,7 +193,7 @@
                 if self.http is not None:
                     self.http.do(self.http.engine.look_again(self.now()))
             case m.ReadEnd():
-                pass
+                self.read = (message.revision, message.identity)
             case _:
                 stream.refuse(f"a {type(message).__name__} is not for a proxy")
 
--- a/puffintide/proxy/tables.py
+++ b/puffintide/proxy/tables.py
@@ -32,7 +32,8 @@
 class Table:
     assigner: int = -1
     token: int = 0
-    batch: int = 0  # of the last order under this token
+    batch: int = 0  # of the last order in this tenure
+    since: int = -1  # the tenure's first token; -1 not known
     lines: dict[int, float] = field(default_factory=dict)
     pickers: dict[bool, Picker] = field(default_factory=dict)  # by whether only the own zone serves
     stale: bool = True  # the pickers' weights are to be set anew
@@ -60,17 +61,26 @@
         self.withdrawn: dict[int, set[int]] = {}  # by assigner
         self.levels: dict[tuple[int, int], dict[int, Level]] = {}  # (assigner, table): by class
         self.version = 0  # rises with each change
+        self.token_most = 0  # the highest seen
         self.dropped = 0  # lines whose token was old
 
     # What comes in ------------------------------------------------------------------------------
 
     def charge(self, charge: Charge) -> None:
         table = self.tables.get(charge.slice)
-        if table is None or (charge.token, charge.batch) < (table.token, table.batch):
-            return  # read before our last order had been written
+        if table is None or charge.token < table.token:
+            return
+        # Written before our last order: the store was away, or the write is on its way. The lines here are newer.
+        same = charge.token == table.token or 0 < charge.since == table.since
+        if same and charge.batch < table.batch:
+            table.assigner, table.token, table.since = charge.assigner, charge.token, charge.since
+            self.token_most = max(self.token_most, charge.token)
+            return
+        self.token_most = max(self.token_most, charge.token)
         if charge.token != table.token:
             self.levels.pop((table.assigner, charge.slice), None)
         table.assigner, table.token, table.batch = charge.assigner, charge.token, charge.batch
+        table.since = charge.since
         table.lines = {h.server: h.weight for h in charge.lines if h.weight > 0}
         table.stale = True
         for held in charge.lines:
@@ -96,7 +106,9 @@
             if table is None or line.token < table.token:
                 self.dropped += 1
                 continue
+            self.token_most = max(self.token_most, line.token)
             if line.token > table.token:
+                table.since = table.since if table.assigner == assigner else -1
                 table.assigner, table.token = assigner, line.token
             table.batch = order.batch
             self._place(line.server, line.address, line.zone)
--- a/puffintide/store/service.py
+++ b/puffintide/store/service.py
@@ -1,98 +1,176 @@
-"""The store on sockets: assigners write, proxies read and are told of changes of charge."""
+"""The store on sockets: assigners write, proxies read and are told of changes of charge.
+
+Nobody is told of a change before it is kept. Changes that come while one commit is under way go into the next
+together; readings are of what is kept, so that they never wait for the disk.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
-from puffintide.store.book import Book, Change
+from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.python.failure import Failure
+
+from puffintide.store.book import Book, Change, charge_of
+from puffintide.store.engine import Change as Kept
+from puffintide.store.engine import Engine, Image, StoreError
+from puffintide.wire import messages as m
 from puffintide.wire.codec import encode
-from puffintide.wire.messages import (
-    CHARGES_MOST,
-    VERSION,
-    AnyMessage,
-    Charge,
-    Charges,
-    Hand,
-    Hands,
-    Hello,
-    Message,
-    Read,
-    ReadEnd,
-    Refused,
-    Taken,
-    Welcome,
-    Write,
-)
+from puffintide.wire.messages import AnyMessage
 from puffintide.wire.session import Greeting
 from puffintide.wire.stream import Acceptor, Stream
 
 DUE_S = 0.1  # how often charge is looked over
+AGAIN_S = 0.5  # after a commit that failed
+STATS_S = 10.0
+
+Run = Callable[..., Deferred[Any]]
 
 
 class StoreService:
-    def __init__(self, reactor: Any, book: Book, deployment: str, log: Any, zones: int = 1) -> None:
+    """engine: where it is kept. run: carries out an engine's call, in a thread of its own where that may take
+    long. image: what the engine has kept, already in the book."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        book: Book,
+        deployment: str,
+        log: Any,
+        engine: Engine,
+        image: Image,
+        zones: int = 1,
+        run: Run = maybeDeferred,
+        streams_most: int = 5000,
+        backups: Callable[[str], str] | None = None,
+    ) -> None:
         self.reactor, self.book, self.deployment, self.log = reactor, book, deployment, log
+        self.engine, self.run, self.zones = engine, run, zones
+        self.identity, self.revision = image.identity, image.revision
+        self.kept = dict(image.slices)  # as on the disk
+        self.revisions = dict(image.revisions)
+        self.hands = dict(image.hands)  # by zone, as on the disk
+        self.hand_number = max((h.number for h in self.hands.values()), default=0)
+        self.streams_most, self.backups = streams_most, backups
+        self.streams = 0
         self.assigners: dict[int, Stream] = {}
         self.proxies: set[Stream] = set()
-        self.hands: dict[int, Hand] = {}  # by zone
-        self.zones = zones
-        self.hand_number = 0
+        self._given: dict[int, Change] = {}  # changes of charge that wait to be kept, by slice
+        self._written: dict[Stream, int] = {}  # the last batch of each writer that waits
+        self._hands: dict[int, m.Hand] = {}
+        self._asked: list[Stream] = []  # operators that wait for their order to be kept
+        self._busy = self._failing = False
+        self.commits = self.failed = self.rows = 0
 
     def factory(self) -> Acceptor:
-        def me() -> Welcome:
-            return Welcome(VERSION, "store", 0)
+        def me() -> m.Welcome:
+            return m.Welcome(m.VERSION, "store", 0)
 
         return Acceptor(self.reactor, me, self._message, self._lost, self._judge)
 
     def start(self) -> None:
-        self._apply(self.book.due(self.reactor.seconds()))
-        self.reactor.callLater(DUE_S, self.start)
+        self._due()
+        self.reactor.callLater(STATS_S, self._stats)
+
+    def _due(self) -> None:
+        self._changed(self.book.due(self.reactor.seconds()))
+        self.reactor.callLater(DUE_S, self._due)
+
+    def _stats(self) -> None:
+        self.log.info(
+            "stats", revision=self.revision, commits=self.commits, rows=self.rows, failed=self.failed,
+            streams=self.streams, waiting=len(self.book.dirty),
+        )  # fmt: skip
+        self.reactor.callLater(STATS_S, self._stats)
+
+    # Streams --------------------------------------------------------------------------------------
 
     def _judge(self, hello: Greeting) -> str | None:
         if hello.role not in ("assigner", "proxy", "operator"):
             return f"role {hello.role!r} is not served by the store"
-        if isinstance(hello, Hello) and hello.deployment != self.deployment:
+        if isinstance(hello, m.Hello) and hello.deployment != self.deployment:
             return f"deployment {hello.deployment!r} is not {self.deployment!r}, which this store holds"
         if hello.role == "assigner" and not 0 <= hello.id < self.book.assigners:
             return f"assigner {hello.id} is not among the {self.book.assigners} of this deployment"
+        if self.streams >= self.streams_most and hello.role == "proxy":
+            return f"{self.streams_most} streams are here already"
         return None
 
     def _message(self, stream: Stream, message: AnyMessage) -> None:
+        role = stream.tag[0] if stream.tag else ""
         match message:
-            case Hello(role="assigner"):
-                self._joined(stream, message)
-            case Hello(role="proxy"):
-                stream.tag = ("proxy", message.id)
-                self.proxies.add(stream)
-            case Hello():
-                stream.tag = ("operator", message.id)
-            case Hand() if stream.tag and stream.tag[0] == "operator":
-                self._hand(stream, message)
-            case Read():
-                for line in self._lines([self.book.charge(n) for n in sorted(self.book.slices)]):
-                    stream.send_line(line)
-                stream.send(ReadEnd(len(self.book.slices)))
-            case Write() if stream.tag and stream.tag[0] == "assigner":
+            case m.Hello():
+                self._greeted(stream, message)
+            case m.Read():
+                self._read(stream, message)
+            case m.Write() if role == "assigner":
                 refused = self.book.write(stream.tag[1], message.lines, message.clear, message.batch)
                 for number, reason in sorted(refused.items()):
-                    stream.send(Refused(message.batch, number, reason))
+                    stream.send(m.Refused(message.batch, number, reason))
                     self.log.warning("write_refused", assigner=stream.tag[1], slice=number, reason=reason)
+                self._written[stream] = message.batch
+                self._keep()
+            case m.Hand() if role == "operator":
+                self._hand(stream, message)
+            case m.Move() if role == "operator":
+                wrong = self.book.move(message.slices, message.to)
+                if wrong is not None:
+                    stream.refuse(wrong)
+                    return
+                self.log.warning("move", slices=message.slices, to=message.to, by=message.by[:100])
+                self._asked.append(stream)
+                self._changed(self.book.due(self.reactor.seconds()))
+            case m.Backup() if role == "operator":
+                self._backup(stream, message.name)
             case _:
                 stream.refuse(f"a {type(message).__name__} is not for the store")
 
-    def _joined(self, stream: Stream, hello: Hello) -> None:
-        old = self.assigners.get(hello.id)
-        if old is not None:
-            old.abort("its assigner dialled anew")
-        stream.tag = ("assigner", hello.id)
-        self.assigners[hello.id] = stream
-        now = self.reactor.seconds()
-        self.log.info("assigner_joined", assigner=hello.id, life=hello.start)
-        self._apply(self.book.joined(now, hello.id))
-        if self.hands:
-            stream.send(Hands([self.hands[z] for z in sorted(self.hands)]))
-
-    def _hand(self, stream: Stream, hand: Hand) -> None:
+    def _greeted(self, stream: Stream, hello: m.Hello) -> None:
+        self.streams += 1
+        stream.tag = (hello.role, hello.id)
+        if hello.token > self.book.token:
+            self.log.error("older_than_its_parties", token=self.book.token, seen=hello.token, role=hello.role,
+                           id=hello.id)  # fmt: skip
+            self._changed(self.book.seen(hello.token))
+        if hello.role == "proxy":
+            self.proxies.add(stream)
+        elif hello.role == "assigner":
+            old = self.assigners.get(hello.id)
+            if old is not None:
+                old.abort("its assigner dialled anew")
+            self.assigners[hello.id] = stream
+            self.log.info("assigner_joined", assigner=hello.id, life=hello.start)
+            if self.hands:
+                stream.send(self._standing())
+            self._changed(self.book.joined(self.reactor.seconds(), hello.id, hello.start))
+
+    def _lost(self, stream: Stream, why: AnyMessage) -> None:
+        if not stream.tag:
+            return
+        self.streams -= 1
+        self.proxies.discard(stream)
+        self._written.pop(stream, None)
+        if stream.tag[0] == "assigner" and self.assigners.get(stream.tag[1]) is stream:
+            del self.assigners[stream.tag[1]]
+            self.book.left(self.reactor.seconds(), stream.tag[1])
+            self.log.warning("assigner_left", assigner=stream.tag[1], reason=stream.reason)
+
+    def _read(self, stream: Stream, read: m.Read) -> None:
+        """What is kept, at one revision: all of it, or what changed since the one the reader has, if it has one
+        of this very store."""
+        known = read.since if read.identity == self.identity and 0 <= read.since <= self.revision else -1
+        numbers = [n for n in sorted(self.kept) if n in self.book.slices and self.revisions.get(n, 0) > known]
+        for line in self._lines([charge_of(self.kept[n]) for n in numbers]):
+            stream.send_line(line)
+        stream.send(m.ReadEnd(len(numbers), self.revision, self.identity))
+
+    # Orders by hand -------------------------------------------------------------------------------
+
+    def _standing(self) -> m.Hands:
+        return m.Hands([self.hands[z] for z in sorted(self.hands)])
+
+    def _hand(self, stream: Stream, hand: m.Hand) -> None:
         if not 0 <= hand.zone < self.zones or hand.what not in ("drain", "hold", "return"):
             stream.refuse(
                 f"{hand.what!r} of zone {hand.zone}: there are {self.zones} zones; drain, hold or return"
@@ -102,47 +180,141 @@
             stream.refuse(f"pace {hand.pace:g} is not from 0.1 to 10")
             return
         self.hand_number += 1
-        kept = Hand(hand.zone, hand.what, hand.pace, hand.by[:100], self.hand_number)
-        self.hands[hand.zone] = kept
+        kept = m.Hand(hand.zone, hand.what, hand.pace, hand.by[:100], self.hand_number)
+        self._hands[hand.zone] = kept
+        self._asked.append(stream)
         self.log.warning(
             "hand", zone=kept.zone, what=kept.what, pace=kept.pace, by=kept.by, number=kept.number
         )
-        told = Hands([self.hands[z] for z in sorted(self.hands)])
-        for assigner in sorted(self.assigners):
-            self.assigners[assigner].send(told)
-        stream.send(told)
+        self._keep()
 
-    def _lost(self, stream: Stream, why: AnyMessage) -> None:
-        self.proxies.discard(stream)
-        if stream.tag and stream.tag[0] == "assigner" and self.assigners.get(stream.tag[1]) is stream:
-            del self.assigners[stream.tag[1]]
-            self.book.left(self.reactor.seconds(), stream.tag[1])
-            self.log.warning("assigner_left", assigner=stream.tag[1], reason=stream.reason)
+    def _backup(self, stream: Stream, name: str) -> None:
+        if self.backups is None:
+            stream.refuse("this store keeps nothing that could be backed up")
+            return
+        try:
+            path = self.backups(name)
+        except ValueError as error:
+            stream.refuse(str(error))
+            return
+        done = self.run(self.engine.backup, path)
+
+        def good(revision: int) -> None:
+            self.log.info("backup", path=path, revision=revision)
+            stream.send(m.Done(f"{path}: revision {revision}"))
+
+        done.addCallbacks(good, lambda failure: stream.refuse(failure.getErrorMessage()))
+
+    # Keeping --------------------------------------------------------------------------------------
 
-    def _apply(self, changes: list[Change]) -> None:
-        """What one event changed goes out as one message to each party, encoded once for all proxies."""
-        given: dict[int, list[Charge]] = {}
+    def _changed(self, changes: list[Change]) -> None:
         for change in changes:
-            charge = self.book.charge(change.slice)
-            if change.old != change.new:
-                self._send(change.old, Taken(change.slice, charge.token))
-            given.setdefault(change.new, []).append(charge)
-        for assigner, charges in sorted(given.items()):
+            before = self._given.get(change.slice)
+            old = before.old if before is not None else change.old
+            self._given[change.slice] = Change(change.slice, old, change.new)
+        self._keep()
+
+    def _keep(self) -> None:
+        """One commit at a time; what comes meanwhile is the next."""
+        if self._busy or self._failing:
+            return
+        if not (self.book.dirty or self._hands):
+            if self._written or self._asked:  # nothing changed: what they wrote was there, or was refused
+                self._tell((), {}, self._take_waiting())
+            return
+        self._busy = True
+        given, self._given = self._given, {}
+        waiting = self._take_waiting()
+        hands, self._hands = self._hands, {}
+        states = self.book.take_dirty()
+        change = Kept(self.revision + 1, self.book.token, states, tuple(hands[z] for z in sorted(hands)))
+        done = self.run(self.engine.commit, change)
+        done.addCallback(lambda _: self._done(change, given, waiting))
+        done.addErrback(self._undone, change, given, waiting)
+
+    def _take_waiting(self) -> tuple[dict[Stream, int], list[Stream]]:
+        found = self._written, self._asked
+        self._written, self._asked = {}, []
+        return found
+
+    def _done(
+        self, kept: Kept, given: dict[int, Change], waiting: tuple[dict[Stream, int], list[Stream]]
+    ) -> None:
+        self._busy = False
+        self.commits += 1
+        self.rows += len(kept.slices)
+        self.revision = kept.revision
+        for state in kept.slices:
+            self.kept[state.slice] = state
+            self.revisions[state.slice] = kept.revision
+        for hand in kept.hands:
+            self.hands[hand.zone] = hand
+        self._tell(kept.hands, given, waiting)
+        self._keep()
+
+    def _undone(
+        self,
+        failure: Failure,
+        kept: Kept,
+        given: dict[int, Change],
+        waiting: tuple[dict[Stream, int], list[Stream]],
+    ) -> None:
+        """Disk full, or worse: nobody is told of it, and it is tried again with what comes meanwhile."""
+        if not isinstance(
+            failure.value, StoreError
+        ):  # a fault of ours: no more is kept, and it must not look as if
+            self.log.critical("engine_failed", reason=failure.getTraceback())
+        self._busy, self._failing = False, True
+        self.failed += 1
+        self.log.error("not_kept", reason=failure.getErrorMessage(), slices=len(kept.slices))
+        self.book.dirty |= {state.slice for state in kept.slices}
+        for number, change in given.items():
+            later = self._given.get(number)
+            self._given[number] = Change(number, change.old, later.new if later is not None else change.new)
+        self._written = waiting[0] | self._written
+        self._asked = waiting[1] + self._asked
+        self._hands = {h.zone: h for h in kept.hands} | self._hands
+        self.reactor.callLater(AGAIN_S, self._again)
+
+    def _again(self) -> None:
+        self._failing = False
+        self._keep()
+
+    def _tell(
+        self,
+        hands: tuple[m.Hand, ...],
+        given: dict[int, Change],
+        waiting: tuple[dict[Stream, int], list[Stream]],
+    ) -> None:
+        """What has been kept goes out; changes of charge as one message to each party, encoded once."""
+        by_assigner: dict[int, list[m.Charge]] = {}
+        for number, change in sorted(given.items()):
+            charge = charge_of(self.kept[number])
+            if change.old != change.new and change.old in self.assigners:
+                self.assigners[change.old].send(m.Taken(number, charge.token))
+            by_assigner.setdefault(charge.assigner, []).append(charge)
+        for assigner, charges in sorted(by_assigner.items()):
             self.log.info("charge", assigner=assigner, slices=[c.slice for c in charges])
             for line in self._lines(charges):
                 if assigner in self.assigners:
                     self.assigners[assigner].send_line(line)
                 for proxy in sorted(self.proxies, key=lambda s: str(s.tag)):
-                    proxy.send_line(line)
+                    if proxy.writable:
+                        proxy.send_line(line)
+                    else:  # it reads again from the revision it has
+                        proxy.abort("does not read what it is told")
+        written, asked = waiting
+        for stream, batch in written.items():
+            stream.send(m.Written(batch, self.revision))
+        if hands:
+            for assigner in sorted(self.assigners):
+                self.assigners[assigner].send(self._standing())
+        for stream in asked:
+            stream.send(self._standing())
 
     @staticmethod
-    def _lines(charges: list[Charge]) -> list[bytes]:
+    def _lines(charges: list[m.Charge]) -> list[bytes]:
         return [
-            encode(Charges(charges[first : first + CHARGES_MOST]))
-            for first in range(0, len(charges), CHARGES_MOST)
+            encode(m.Charges(charges[first : first + m.CHARGES_MOST]))
+            for first in range(0, len(charges), m.CHARGES_MOST)
         ]
-
-    def _send(self, assigner: int, message: Message) -> None:
-        stream = self.assigners.get(assigner)
-        if stream is not None:
-            stream.send(message)
--- a/puffintide/wire/messages.py
+++ b/puffintide/wire/messages.py
@@ -32,6 +32,7 @@
     deployment: str = ""
     start: int = 0  # which life of this process; rises at each start
     fresh: bool = False  # a proxy: its first stream to this peer since it started
+    token: int = 0  # to the store: the highest token seen, by which a store knows that it is an older copy
 
 
 class Welcome(Message, tag="welcome", frozen=True):
@@ -143,7 +144,8 @@
     token: int  # rises with each change of charge; a write with an older one is refused
     assigner: int  # -1: nobody
     lines: list[Held] = []
-    batch: int = 0  # of the last write under this token; a proxy that has a later order keeps its lines
+    batch: int = 0  # of the last write in this tenure; a proxy that has a later order keeps its lines
+    since: int = 0  # the first token of this unbroken tenure of one life of the assigner
 
 
 class Charges(Message, tag="charges", frozen=True):
@@ -176,11 +178,38 @@
 
 
 class Read(Message, tag="read", frozen=True):
-    """Asks the store for all tables and charges; answered by Charges of all slices, then ReadEnd."""
+    """Asks the store for tables and charges; answered by Charges, then ReadEnd. With the identity and revision of
+    an earlier ReadEnd of the same store only what changed since is told."""
+
+    since: int = -1
+    identity: str = ""
 
 
 class ReadEnd(Message, tag="read_end", frozen=True):
-    slices: int
+    slices: int  # told before this
+    revision: int = 0
+    identity: str = ""  # of the store
+
+
+class Written(Message, tag="written", frozen=True):
+    """This writer's writes up to this batch are kept, but for those refused."""
+
+    batch: int
+    revision: int
+
+
+class Move(Message, tag="move", frozen=True):
+    """An operator's order: these slices have their home at that assigner; -1 takes it back."""
+
+    slices: list[int]
+    to: int
+    by: str = ""
+
+
+class Backup(Message, tag="backup", frozen=True):
+    """An operator's order to write a backup under this name, in the store's folder for them."""
+
+    name: str
 
 
 # The operator's hand -------------------------------------------------------------------------------
@@ -350,6 +379,9 @@
     | Refused
     | Read
     | ReadEnd
+    | Written
+    | Move
+    | Backup
     | Hand
     | Hands
     | AskZones
