Store on an etcd cluster through its v3 protocol, one suite for both engines

Need: users who outgrow one machine want tables kept in a cluster they have. Measured: 24 cases, large commits cut short at 11 points are there whole or not at all, a paused store is overtaken and ends. No real cluster was met.

--- a/puffintide/cli/processes.py
+++ b/puffintide/cli/processes.py
@@ -125,7 +125,13 @@
     )  # fmt: skip
     pool = ThreadPool(1, 1, "engine")  # one thread: an engine's calls follow each other
     try:
-        engine: Engine = SqliteEngine(me.file) if me.file else Memory()
+        engine: Engine = Memory()
+        if me.file:
+            engine = SqliteEngine(me.file)
+        elif me.etcd:
+            from puffintide.store.etcd.engine import EtcdEngine, credentials
+
+            engine = EtcdEngine(me.etcd, d.name, credentials=credentials(config.tls) if config.tls else None)
         image = engine.load()
         book.restore(image)
         if me.start_tables and not image.slices:
@@ -135,7 +141,8 @@
         sys.exit(2)
     service = StoreService(
         reactor, book, d.name, log, engine, image, len(d.zones),
-        run=(lambda call, *args: deferToThreadPool(reactor, pool, call, *args)) if me.file else maybeDeferred,
+        run=(lambda call, *args: deferToThreadPool(reactor, pool, call, *args))
+        if me.file or me.etcd else maybeDeferred,
         streams_most=me.streams_most,
         backups=(lambda name: _name(me.backups, name)) if me.file and me.backups else None,
     )  # fmt: skip
@@ -148,6 +155,9 @@
     service.start()
     _run(reactor)
     engine.close()
+    if service.overtaken:
+        print("puffintide: another store serves in this one's place", file=sys.stderr)
+        sys.exit(2)
 
 
 def run_proxy(config: Config) -> None:
--- a/puffintide/config/schema.py
+++ b/puffintide/config/schema.py
@@ -211,8 +211,16 @@
 class StoreProcess(Process):
     listen: Address
     file: str = ""  # where tables and charge are kept; empty: in memory alone, lost at the end
+    etcd: Addresses = []  # members of a cluster to keep it in, in place of a file
     backups: str = ""  # a folder for backups that an operator orders; empty: none are taken
     streams_most: Count = 5000
+
+    @model_validator(mode="after")
+    def _one(self) -> StoreProcess:
+        if self.file and self.etcd:
+            raise ValueError("file and etcd are both there; one is allowed")
+        return self
+
     start_tables: str = ""  # a file of first tables, JSON lines of Charge
 
 
--- a/puffintide/store/engine.py
+++ b/puffintide/store/engine.py
@@ -18,6 +18,10 @@
     """The storage can't be used; the text says what and where, in one line."""
 
 
+class Overtaken(StoreError):
+    """Another store has written since: this one is behind, and must not go on."""
+
+
 class SliceState(msgspec.Struct, frozen=True, array_like=True):
     """A slice as kept: who has charge under which token, the last write's batch, its table, and a pin."""
 
@@ -63,12 +67,18 @@
     def backup(self, path: str) -> int:
         """A copy as of one revision, while serving; gives that revision. Raises StoreError."""
 
+    def beat(self) -> None:
+        """Called now and then, for what must be kept up. Raises StoreError."""
+
     def close(self) -> None: ...
 
 
 class Memory:
     """Keeps nothing over a restart: for days and tests of what does not concern storage."""
 
+    def beat(self) -> None:
+        pass
+
     def __init__(self, identity: str = "memory") -> None:
         self.image = Image(identity)
 
--- a/puffintide/store/service.py
+++ b/puffintide/store/service.py
@@ -14,7 +14,7 @@
 
 from puffintide.store.book import Book, Change, charge_of
 from puffintide.store.engine import Change as Kept
-from puffintide.store.engine import Engine, Image, StoreError
+from puffintide.store.engine import Engine, Image, Overtaken, StoreError
 from puffintide.wire import messages as m
 from puffintide.wire.codec import encode
 from puffintide.wire.messages import AnyMessage
@@ -23,6 +23,7 @@
 
 DUE_S = 0.1  # how often charge is looked over
 AGAIN_S = 0.5  # after a commit that failed
+BEAT_S = 1.0
 STATS_S = 10.0
 
 Run = Callable[..., Deferred[Any]]
@@ -61,6 +62,7 @@
         self._hands: dict[int, m.Hand] = {}
         self._asked: list[Stream] = []  # operators that wait for their order to be kept
         self._busy = self._failing = False
+        self.overtaken = False  # another store serves in our place
         self.commits = self.failed = self.rows = 0
 
     def factory(self) -> Acceptor:
@@ -72,6 +74,22 @@
     def start(self) -> None:
         self._due()
         self.reactor.callLater(STATS_S, self._stats)
+        self.reactor.callLater(BEAT_S, self._beat)
+
+    def _beat(self) -> None:
+        done = self.run(self.engine.beat)
+        done.addErrback(lambda failure: self._failed(failure, "not_kept_up"))
+        done.addBoth(lambda _: self.reactor.callLater(BEAT_S, self._beat))
+
+    def _failed(self, failure: Failure, what: str) -> None:
+        if isinstance(failure.value, Overtaken):
+            self.log.critical("overtaken", reason=str(failure.value))
+            self.overtaken = True
+            self.reactor.stop()
+        elif isinstance(failure.value, StoreError):
+            self.log.error(what, reason=str(failure.value))
+        else:  # a fault of ours: no more is kept, and it must not look as if
+            self.log.critical("engine_failed", reason=failure.getTraceback())
 
     def _due(self) -> None:
         self._changed(self.book.due(self.reactor.seconds()))
@@ -260,13 +278,9 @@
         waiting: tuple[dict[Stream, int], list[Stream]],
     ) -> None:
         """Disk full, or worse: nobody is told of it, and it is tried again with what comes meanwhile."""
-        if not isinstance(
-            failure.value, StoreError
-        ):  # a fault of ours: no more is kept, and it must not look as if
-            self.log.critical("engine_failed", reason=failure.getTraceback())
+        self._failed(failure, "not_kept")
         self._busy, self._failing = False, True
         self.failed += 1
-        self.log.error("not_kept", reason=failure.getErrorMessage(), slices=len(kept.slices))
         self.book.dirty |= {state.slice for state in kept.slices}
         for number, change in given.items():
             later = self._given.get(number)
--- a/puffintide/store/sqlite.py
+++ b/puffintide/store/sqlite.py
@@ -191,6 +191,9 @@
         self.db.execute("commit")
         return identity
 
+    def beat(self) -> None:
+        pass
+
     def close(self) -> None:
         self.db.close()
 
--- /dev/null
+++ b/tests/test_engines.py
@@ -0,0 +1,244 @@
+"""One suite for both engines, and what an etcd cluster does to the store (against the stand-in)."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+
+from puffintide.standins.etcd import Etcd
+from puffintide.store.engine import Change, Engine, Overtaken, SliceState, StoreError
+from puffintide.store.etcd.engine import EtcdEngine
+from puffintide.store.sqlite import SqliteEngine
+from puffintide.wire import messages as m
+from tests.peers import PORTS, dial, process
+
+Open = Callable[[], Engine]
+
+
+class Clock:
+    now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+@pytest.fixture
+def etcd() -> Iterator[Etcd]:
+    clock = Clock()
+    made = Etcd(clock)
+    made.port = made.serve()  # type: ignore[attr-defined]
+    yield made
+    made.stop()
+
+
+def client(etcd: Etcd, ttl_s: int = 10) -> EtcdEngine:
+    return EtcdEngine([f"127.0.0.1:{etcd.port}"], "t", ttl_s)  # type: ignore[attr-defined]
+
+
+@pytest.fixture(params=["sqlite", "etcd"])
+def opened(request: pytest.FixtureRequest, tmp_path: Path) -> Open:
+    if request.param == "sqlite":
+        return lambda: SqliteEngine(str(tmp_path / "store.db"))
+    etcd = request.getfixturevalue("etcd")
+    return lambda: client(etcd)
+
+
+def states(numbers: range, token: int) -> tuple[SliceState, ...]:
+    return tuple(SliceState(n, 0, token, token, [m.Held(token % 9, 1.0, "127.0.0.1:1")]) for n in numbers)
+
+
+def test_what_is_kept_is_there_again(opened: Open) -> None:
+    engine = opened()
+    image = engine.load()
+    assert (image.revision, image.slices, image.hands) == (0, {}, {})
+    engine.commit(Change(1, 5, states(range(30), 1)))
+    engine.commit(Change(2, 6, states(range(3), 2), (m.Hand(1, "hold", 1.0, "me", 1),)))
+    engine.beat()
+    engine.close()
+    again = opened()
+    found = again.load()
+    assert found.identity == image.identity and (found.revision, found.token) == (2, 6)
+    assert found.slices == {s.slice: s for s in states(range(30), 1) + states(range(3), 2)}
+    assert found.revisions == {n: 2 if n < 3 else 1 for n in range(30)} and found.hands[1].by == "me"
+    again.commit(Change(3, 7, states(range(1), 3)))
+    again.close()
+
+
+def test_a_large_commit_is_one(opened: Open) -> None:
+    engine = opened()
+    engine.load()
+    engine.commit(Change(1, 1, states(range(3000), 1)))
+    engine.close()
+    engine = opened()
+    assert engine.load().slices == {s.slice: s for s in states(range(3000), 1)}
+    engine.commit(Change(2, 2, states(range(5), 2)))
+    engine.close()
+    engine = opened()
+    found = engine.load()
+    assert found.slices == {s.slice: s for s in states(range(3000), 1) + states(range(5), 2)}
+    assert found.revisions[4] == 2 and found.revisions[5] == 1
+    engine.close()
+
+
+def test_two_stores_can_not_serve_from_one(opened: Open) -> None:
+    engine = opened()
+    engine.load()
+    with pytest.raises(StoreError, match="open in another store"):
+        opened().load()
+    engine.commit(Change(1, 1, states(range(2), 1)))
+    engine.close()
+    opened().load()
+
+
+def advance(etcd: Etcd, seconds: float) -> None:
+    assert isinstance(etcd.clock, Clock)
+    etcd.clock.now += seconds
+
+
+def test_a_store_paused_beyond_its_lease_writes_nothing_once_another_has_begun(etcd: Etcd) -> None:
+    first = client(etcd)
+    first.load()
+    first.commit(Change(1, 1, states(range(2), 1)))
+    advance(etcd, 30)
+    second = client(etcd)
+    second.load()
+    with pytest.raises(Overtaken):
+        first.commit(Change(2, 2, states(range(2), 2)))
+    with pytest.raises(Overtaken):
+        first.beat()
+    second.commit(Change(2, 3, states(range(1), 3)))
+    assert client_image(etcd, second)[0].token == 3
+
+
+def client_image(etcd: Etcd, engine: EtcdEngine) -> dict[int, SliceState]:
+    engine.close()
+    other = client(etcd)
+    found = other.load().slices
+    other.close()
+    return found
+
+
+def test_a_lease_that_ran_out_while_nobody_came_is_taken_anew(etcd: Etcd) -> None:
+    engine = client(etcd)
+    engine.load()
+    advance(etcd, 30)
+    engine.commit(Change(1, 1, states(range(2), 1)))
+    advance(etcd, 30)
+    engine.beat()
+    with pytest.raises(StoreError, match="open in another store"):
+        client(etcd).load()
+
+
+@pytest.mark.parametrize("rows", [3, 700])
+def test_an_answer_that_is_lost_neither_loses_nor_doubles_a_commit(etcd: Etcd, rows: int) -> None:
+    engine = client(etcd)
+    engine.load()
+    engine.commit(Change(1, 1, states(range(5), 1)))
+    for lost in (1, 2):
+        etcd.faults.lose_answers = lost
+        engine.commit(Change(1 + lost, lost, states(range(rows), 1 + lost)))
+    found = client_image(etcd, engine)
+    assert found == {s.slice: s for s in states(range(5), 1) + states(range(rows), 3)}
+
+
+@pytest.mark.parametrize("after", range(1, 12))
+def test_a_large_commit_cut_short_anywhere_is_there_whole_or_not_at_all(etcd: Etcd, after: int) -> None:
+    engine = client(etcd)
+    engine.load()
+    engine.commit(Change(1, 1, states(range(450), 1)))
+    engine.commit(Change(2, 2, states(range(1), 2)))
+    begun = etcd.transactions
+
+    class Gone(Exception):
+        pass
+
+    put = etcd._carry_out
+
+    def cut(operation: object) -> object:
+        if etcd.transactions - begun > after:
+            etcd.faults.no_leader = True
+            raise Gone
+        return put(operation)  # type: ignore[arg-type]
+
+    etcd._carry_out = cut  # type: ignore[method-assign, assignment]
+    acknowledged = True
+    try:
+        engine.commit(Change(3, 3, states(range(450), 3)))
+        engine.commit(Change(4, 4, states(range(2), 4)))
+    except StoreError:
+        acknowledged = False
+    etcd._carry_out = put  # type: ignore[method-assign]
+    etcd.faults.no_leader = False
+    advance(etcd, 30)
+    other = client(etcd)
+    image = other.load()
+    old = {s.slice: s for s in states(range(450), 1) + states(range(1), 2)}
+    new = {s.slice: s for s in states(range(450), 3)}
+    last = new | {s.slice: s for s in states(range(2), 4)}
+    assert image.slices == {2: old, 3: new, 4: last}[image.revision]
+    assert not acknowledged or image.revision == 4
+    other.commit(Change(image.revision + 1, 9, states(range(7), 9)))
+    assert client_image(etcd, other) == image.slices | {s.slice: s for s in states(range(7), 9)}
+
+
+def test_no_leader_no_space_and_a_compacted_revision(etcd: Etcd) -> None:
+    engine = client(etcd)
+    engine.load()
+    engine.commit(Change(1, 1, states(range(900), 1)))
+    etcd.faults.no_leader = True
+    with pytest.raises(StoreError, match="no leader"):
+        engine.commit(Change(2, 2, states(range(2), 2)))
+    etcd.faults.no_leader = False
+    etcd.faults.no_space = True
+    with pytest.raises(StoreError, match="no room left"):
+        engine.commit(Change(2, 2, states(range(2), 2)))
+    etcd.faults.no_space = False
+    engine.commit(Change(2, 2, states(range(2), 2)))
+    engine.close()
+    etcd.faults.compacted = 1 << 40  # the second page of each reading
+    other = client(etcd)
+    with pytest.raises(StoreError, match="compacted at every reading"):
+        other.load()
+    etcd.faults.compacted = 0
+    assert len(other.load().slices) == 900
+
+
+def test_the_next_member_is_asked_when_one_is_gone(etcd: Etcd) -> None:
+    gone = PORTS.take()
+    engine = EtcdEngine([f"127.0.0.1:{gone}", f"127.0.0.1:{etcd.port}"], "t")  # type: ignore[attr-defined]
+    engine.load()
+    engine.commit(Change(1, 1, states(range(2), 1)))
+    assert client_image(etcd, engine) == {s.slice: s for s in states(range(2), 1)}
+
+
+def test_the_running_store_on_a_cluster_and_a_second_that_takes_its_place(etcd: Etcd, tmp_path: Path) -> None:
+    """The first is cut off from the cluster beyond its lease, a second begins, and the first ends itself."""
+    section = {"listen": f"127.0.0.1:{PORTS.take()}", "etcd": f"127.0.0.1:{etcd.port}"}  # type: ignore[attr-defined]
+    with process(tmp_path, "store", section) as first:
+        port = int(section["listen"].split(":")[1])
+        line = dial(port, m.Hello(m.VERSION, "assigner", 0, 0, "t", start=1))
+        given = line.until(lambda x: isinstance(x, m.Charges)).charges
+        mine = next(c for c in given if c.assigner == 0)
+        line.send(m.Write(1, [m.Line(mine.slice, 4, 1.0, mine.token, "127.0.0.1:9")]))
+        line.until(lambda x: isinstance(x, m.Written))
+        etcd.faults.no_leader = True
+        line.send(m.Write(2, [m.Line(mine.slice, 5, 1.0, mine.token, "127.0.0.1:9")]))
+        with pytest.raises(TimeoutError):
+            line.until(lambda x: isinstance(x, m.Written), 1.0)  # not kept, so not told
+        etcd.faults.no_leader = False
+        line.until(lambda x: isinstance(x, m.Written))
+        advance(etcd, 30)
+        second = dict(section, listen=f"127.0.0.1:{PORTS.take()}")
+        folder = tmp_path / "second"
+        folder.mkdir()
+        end = time.monotonic() + 20
+        with process(folder, "store", second):
+            assert first.wait(max(1.0, end - time.monotonic())) == 2
+            other = dial(int(second["listen"].split(":")[1]), m.Hello(m.VERSION, "proxy", 0, 0, "t"))
+            other.until(lambda x: isinstance(x, m.Welcome))
+            other.send(m.Read())
+            kept = other.until(lambda x: isinstance(x, m.Charges)).charges
+            assert {h.server for c in kept if c.slice == mine.slice for h in c.lines} == {4, 5}
