--- a/puffintide/store/service.py
+++ b/puffintide/store/service.py
@@ -24,6 +24,7 @@
 DUE_S = 0.1  # how often charge is looked over
 AGAIN_S = 0.5  # after a commit that failed
 BEAT_S = 1.0
+VIEWS_MOST = 20  # encoded readings that are kept
 STATS_S = 10.0
 
 Run = Callable[..., Deferred[Any]]
@@ -61,6 +62,8 @@
         self._written: dict[Stream, int] = {}  # the last batch of each writer that waits
         self._hands: dict[int, m.Hand] = {}
         self._asked: list[Stream] = []  # operators that wait for their order to be kept
+        self._views: dict[int, list[bytes]] = {}  # encoded readings of this revision, by where they start
+        self._views_of = -1
         self._busy = self._failing = False
         self.overtaken = False  # another store serves in our place
         self.commits = self.failed = self.rows = 0
@@ -178,10 +181,33 @@
         """What is kept, at one revision: all of it, or what changed since the one the reader has, if it has one
         of this very store."""
         known = read.since if read.identity == self.identity and 0 <= read.since <= self.revision else -1
-        numbers = [n for n in sorted(self.kept) if n in self.book.slices and self.revisions.get(n, 0) > known]
-        for line in self._lines([charge_of(self.kept[n]) for n in numbers]):
-            stream.send_line(line)
-        stream.send(m.ReadEnd(len(numbers), self.revision, self.identity))
+        lines = iter(self._view(known))
+
+        def on() -> None:
+            """A line at a time, as the reader takes them: a crowd of readers is no heap of buffers."""
+            while stream.writable and not stream.ended:
+                line = next(lines, None)
+                if line is None:
+                    stream.on_writable = None
+                    return
+                stream.send_line(line)
+
+        stream.on_writable = on  # a second reading takes the place of one under way
+        on()
+
+    def _view(self, known: int) -> list[bytes]:
+        """A reading, encoded: once for each revision and starting point that is asked for."""
+        if self._views_of != self.revision:
+            self._views_of, self._views = self.revision, {}
+        if known not in self._views:
+            if len(self._views) >= VIEWS_MOST:
+                self._views.pop(next(iter(self._views)))
+            numbers = [
+                n for n in sorted(self.kept) if n in self.book.slices and self.revisions.get(n, 0) > known
+            ]
+            lines = self._lines([charge_of(self.kept[n]) for n in numbers])
+            self._views[known] = [*lines, encode(m.ReadEnd(len(numbers), self.revision, self.identity))]
+        return self._views[known]
 
     # Orders by hand -------------------------------------------------------------------------------
 
--- a/puffintide/wire/stream.py
+++ b/puffintide/wire/stream.py
@@ -43,6 +43,7 @@
         self.ended = False
         self.reason = ""  # why it was closed from this side
         self.tag: Any = None  # the owner's mark
+        self.on_writable: Callable[[], None] | None = None  # called when the peer has read on
         self._check: Any = None
 
     def connectionMade(self) -> None:
@@ -133,6 +134,8 @@
 
     def resumeProducing(self) -> None:
         self.writable = True
+        if self.on_writable is not None:
+            self.on_writable()
 
     def stopProducing(self) -> None:
         self.writable = False
