--- a/puffintide/assigner/service.py
+++ b/puffintide/assigner/service.py
@@ -186,6 +186,10 @@
                     if charge.slice in given:
                         self.runtime.charge(now, charge)
                 self._write_again(given)
+            case m.Members():
+                self.log.info("members", assigners=message.assigners)
+                if self.me.id in message.assigners:
+                    self.runtime.hear(now, api.Instances(len(message.assigners)))
             case m.Hands():
                 for hand in message.hands:
                     if hand.number != self.hands.get(hand.zone):
--- a/puffintide/interface.py
+++ b/puffintide/interface.py
@@ -166,6 +166,13 @@
     name: int
 
 
+@dataclass(frozen=True, slots=True)
+class Instances:
+    """How many assigners have charge of slices now, this one among them; until told it is as in the settings."""
+
+    count: int
+
+
 @dataclass(frozen=True, slots=True)
 class ServerBound:
     """The share of a server's capacity that may be planned with, from the zone plan; 0: only if nothing else is
@@ -197,6 +204,7 @@
     | ProbeResult
     | PeerMessage
     | TimerDue
+    | Instances
     | ServerBound
     | ZoneHand
 )
--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -190,6 +190,10 @@
                 self.proxies.discard(event.proxy)
             case api.ProbeResult():
                 self.see_probe(event)
+            case api.Instances():  # each takes its part of the room; alone, nobody else's load is there
+                self.set = replace(self.set, instances=max(1, event.count))
+                for server in self.servers.values() if event.count <= 1 else ():
+                    server.foreign = None
             case api.ServerBound():
                 self.bounds[event.server] = event.share
 
--- a/puffintide/store/book.py
+++ b/puffintide/store/book.py
@@ -99,6 +99,11 @@
                 changes.append(self._give(number, home if home in self.present else here[number % len(here)]))
         return changes
 
+    def members(self, now: float) -> list[int]:
+        """Those present, and those away whose lease has not run out."""
+        held = [a for a, since in self.away.items() if now - since < self.takeover_s]
+        return sorted({*self.present, *held})
+
     def move(self, numbers: Sequence[int], to: int) -> str | None:
         """An operator's move: these slices have their home there from now on; -1 takes that back. Gives what is
         wrong, and then nothing is moved."""
--- a/puffintide/store/service.py
+++ b/puffintide/store/service.py
@@ -57,6 +57,7 @@
         self.streams_most, self.backups = streams_most, backups
         self.streams = 0
         self.assigners: dict[int, Stream] = {}
+        self.members: list[int] = []  # as told last
         self.proxies: set[Stream] = set()
         self._given: dict[int, Change] = {}  # changes of charge that wait to be kept, by slice
         self._written: dict[Stream, int] = {}  # the last batch of each writer that waits
@@ -95,7 +96,14 @@
             self.log.critical("engine_failed", reason=failure.getTraceback())
 
     def _due(self) -> None:
-        self._changed(self.book.due(self.reactor.seconds()))
+        now = self.reactor.seconds()
+        self._changed(self.book.due(now))
+        members = self.book.members(now)
+        if members != self.members:
+            self.members = members
+            self.log.info("members", assigners=members)
+            for assigner in sorted(self.assigners):
+                self.assigners[assigner].send(m.Members(members))
         self.reactor.callLater(DUE_S, self._due)
 
     def _stats(self) -> None:
@@ -164,6 +172,8 @@
             self.log.info("assigner_joined", assigner=hello.id, life=hello.start)
             if self.hands:
                 stream.send(self._standing())
+            if self.members:
+                stream.send(m.Members(self.members))
             self._changed(self.book.joined(self.reactor.seconds(), hello.id, hello.start))
 
     def _lost(self, stream: Stream, why: AnyMessage) -> None:
--- a/puffintide/wire/messages.py
+++ b/puffintide/wire/messages.py
@@ -191,6 +191,12 @@
     identity: str = ""  # of the store
 
 
+class Members(Message, tag="members", frozen=True):
+    """The assigners that have charge of slices, or may have again within the lease; to every assigner."""
+
+    assigners: list[int]
+
+
 class Written(Message, tag="written", frozen=True):
     """This writer's writes up to this batch are kept, but for those refused."""
 
@@ -380,6 +386,7 @@
     | Read
     | ReadEnd
     | Written
+    | Members
     | Move
     | Backup
     | Hand
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -40,6 +40,7 @@
     m.Read(7, "a1"),
     m.ReadEnd(12, 7, "a1"),
     m.Written(9, 8),
+    m.Members([0, 2]),
     m.Move([1, 2], 0, "me"),
     m.Backup("monday"),
     m.Hand(1, "drain", 2.0, "me", 3),
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -388,3 +388,15 @@
         world.run(3)
         spread[bool(tiers)] = {s % 2 for n in mine for s in world.main(n)}
     assert spread == {False: {0, 1}, True: {0}}
+
+
+def test_those_left_use_the_part_of_a_dead_assigner() -> None:
+    """Server 2 is too full; how much room others have for its slices depends on how many take from it."""
+    moved = {}
+    for count in (4, 1):
+        world = Plain(servers=SERVERS, slices=64, proxies=3, instances=4, report_names=("busy", "rif"))
+        world.heat = {n: 1.2 if world.tables[n] != {2: 1.0} else 4.5 for n in world.heat}
+        world.tell(api.Instances(count))
+        world.run(20)
+        moved[count] = sum(2 not in world.main(n) for n in world.tables if n % 8 == 1)
+    assert moved[1] > moved[4]
