Slices with one writer move by steps: stop, let writes end, keep, then go

Cause: an order went to proxies and store at once and did not wait for writes in hand, so ownership was not assured.

--- /dev/null
+++ b/puffintide/assigner/handover.py
@@ -0,0 +1,181 @@
+"""Moves of slices that have one writer: stop, let writes end, keep, and only then let the next server begin.
+
+Pure: time is passed in. One batch of orders at a time, in order:
+  stop   every proxy lets go of the slices' tables; it answers (a mark) once no write of its own is in hand there;
+  keep   the store is told, so that whoever takes the slices over knows the new server;
+  go     the proxies get the new lines.
+A proxy whose stream is gone stops writes by itself after its write lease, and what it had in hand ends with the
+longest deadline: it is waited for as long. One that joins takes writes only once it has an order of its own, which
+it gets when no move is under way. Writes that outlast patience_s are not waited for, as rule 1 forbids to leave
+slices without a server for longer; a server may then still be at work for a client that has given up. What the
+module orders beside lines (withdrawals, levels) is never held back.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+import msgspec
+
+from puffintide.wire.messages import Line, Order
+
+FIRST_MARK = 1 << 20  # the module's own are below 2^16
+MESSAGES = 2  # to a proxy for each batch, where the module counts one
+STOP, KEEP = "stop", "keep"
+
+Orders = list[tuple[int, Order]]
+
+
+@dataclass(slots=True)
+class Steps:
+    """What the service does now: messages for the channel, and lines for the store."""
+
+    orders: Orders = field(default_factory=list)
+    writes: list[tuple[int, list[Line]]] = field(default_factory=list)  # batch and lines
+
+
+@dataclass(slots=True)
+class _Move:
+    batch: int
+    lines: list[Line]
+    later: Orders  # what goes along with the lines: the module's mark
+    mark: int
+    waiting: set[int]  # proxies that have not answered
+    until: float = 0.0  # not longer than this
+    gone_until: float = 0.0  # nor shorter, for proxies that went away
+    stage: str = STOP
+
+
+class Handover:
+    """lease_s: after which a proxy without its assigner takes no writes. longest_s: deadline of any write."""
+
+    def __init__(self, lease_s: float, longest_s: float, patience_s: float, head_lines: float) -> None:
+        self.lease_s, self.longest_s, self.patience_s = lease_s, longest_s, patience_s
+        self.head_lines = head_lines
+        self.moves: deque[_Move] = deque()
+        self.mark = FIRST_MARK
+        self.proxies: set[int] = set()
+        self.left_at: dict[int, float] = {}
+
+    # What comes in --------------------------------------------------------------------------------
+
+    def joined(self, now: float, proxy: int) -> Steps:
+        """From its first order on it takes writes: at once, or with the lines of the move that is under way."""
+        self.proxies.add(proxy)
+        self.left_at.pop(proxy, None)
+        if self.moves:
+            return Steps()
+        return Steps(orders=[(proxy, Order(0, now, self.head_lines))])
+
+    def left(self, now: float, proxy: int) -> Steps:
+        """It is no longer heard; what it has in hand is waited out."""
+        self.proxies.discard(proxy)
+        self.left_at[proxy] = now
+        for move in list(self.moves)[:1]:
+            if proxy in move.waiting:
+                move.waiting.discard(proxy)
+                move.gone_until = max(move.gone_until, now + self.lease_s + self.longest_s)
+        return self.due(now)
+
+    def put(self, now: float, batch: int, lines: list[Line], orders: Orders) -> Steps:
+        """A batch of the module. Whatever has no lines goes on at once."""
+        steps = Steps()
+        slices = sorted({line.table for line in lines})
+        if not slices:
+            steps.orders = orders
+            return steps
+        beside: dict[int, Order] = {}
+        later: Orders = []
+        for proxy, order in orders:
+            rest = msgspec.structs.replace(
+                order, lines=[], clear=[], mark=None,
+                cost=self.head_lines + len(order.out) + len(order.back) + len(order.levels),
+            )  # fmt: skip
+            if rest.out or rest.back or rest.levels:
+                beside[proxy] = rest
+            later.append((proxy, msgspec.structs.replace(order, out=[], back=[], levels=[])))
+        self.moves.append(_Move(batch, lines, later, 0, set()))
+        if len(self.moves) == 1:
+            steps.orders = self._stop(now, beside)
+        else:
+            steps.orders = sorted(beside.items())
+        return steps
+
+    def applied(self, now: float, proxy: int, mark: int) -> Steps:
+        for move in list(self.moves)[:1]:
+            if move.mark == mark:
+                move.waiting.discard(proxy)
+        return self.due(now)
+
+    def written(self, now: float, batch: int) -> Steps:
+        """The store has kept all up to this batch; lines that it refused were taken out before (refused)."""
+        steps = Steps()
+        while self.moves and self.moves[0].stage == KEEP and self.moves[0].batch <= batch:
+            move = self.moves.popleft()
+            later = dict(move.later)
+            cost = self.head_lines + len(move.lines)
+            for proxy in sorted(self.proxies):  # those that came in between have the same lines
+                order = later.get(proxy, Order(move.batch, now, cost))
+                made = msgspec.structs.replace(order, batch=move.batch, lines=list(move.lines), cost=cost)
+                steps.orders.append((proxy, made))
+            if self.moves:
+                steps.orders += self._stop(now)
+        return steps
+
+    def refused(self, number: int) -> None:
+        """The slice is another's by now: its lines go to nobody."""
+        for move in self.moves:
+            move.lines = [line for line in move.lines if line.table != number]
+
+    def again(self) -> list[tuple[int, list[Line]]]:
+        """What the store has not told to be kept, for when it is back."""
+        return [(move.batch, move.lines) for move in list(self.moves)[:1] if move.stage == KEEP]
+
+    def token(self, number: int, token: int) -> None:
+        """The slice is ours under a new token, in an unbroken tenure."""
+        for move in self.moves:
+            move.lines = [_under(line, number, token) for line in move.lines]
+
+    # Time -----------------------------------------------------------------------------------------
+
+    def _stop(self, now: float, beside: dict[int, Order] | None = None) -> Orders:
+        """Begins with all batches that wait, as one."""
+        move = self.moves.popleft()
+        while self.moves:
+            move = _joined(move, self.moves.popleft())
+        self.moves.append(move)
+        self.mark += 1
+        move.mark, move.waiting = self.mark, set(self.proxies)
+        move.until = now + self.patience_s
+        recent = [at for at in self.left_at.values() if now - at < self.lease_s + self.longest_s]
+        move.gone_until = max((at + self.lease_s + self.longest_s for at in recent), default=0.0)
+        slices = sorted({line.table for line in move.lines})
+        orders: Orders = []
+        for proxy in sorted(self.proxies):
+            rest = (beside or {}).get(proxy, Order(move.batch, now, self.head_lines))
+            cost = rest.cost + len(slices) + 1
+            orders.append((proxy, msgspec.structs.replace(rest, clear=slices, mark=move.mark, cost=cost)))
+        return orders
+
+    def due(self, now: float) -> Steps:
+        """To be called now and then while a move is under way."""
+        steps = Steps()
+        if self.moves and self.moves[0].stage == STOP:
+            move = self.moves[0]
+            ended = not move.waiting and now >= move.gone_until
+            if ended or now >= move.until:
+                move.stage = KEEP
+                steps.writes.append((move.batch, move.lines))
+        return steps
+
+
+def _joined(first: _Move, second: _Move) -> _Move:
+    """Two batches as one: of a slice that both move, the later line counts."""
+    again = {line.table for line in second.lines}
+    lines = [line for line in first.lines if line.table not in again] + second.lines
+    return _Move(second.batch, lines, sorted((dict(first.later) | dict(second.later)).items()), 0, set())
+
+
+def _under(line: Line, number: int, token: int) -> Line:
+    return msgspec.structs.replace(line, token=token) if line.table == number else line
--- a/puffintide/assigner/service.py
+++ b/puffintide/assigner/service.py
@@ -6,6 +6,7 @@
 import random
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -13,6 +14,7 @@
 from puffintide import interface as api
 from puffintide.assigner.cache import CacheError, load_list, save_list
 from puffintide.assigner.channel import Channel
+from puffintide.assigner.handover import FIRST_MARK, MESSAGES, Handover, Steps
 from puffintide.assigner.reports import Gatherer
 from puffintide.assigner.runtime import Effects, Runtime
 from puffintide.config.loader import Config, settings
@@ -26,6 +28,8 @@
 from puffintide.zones.plan import ZoneLimits
 
 STATS_S = 5.0
+PATIENCE = 0.8  # of the time that a slice may be without a server, for writes in hand to end
+HANDOVER_S = 0.02  # how often a move under way is looked at
 
 
 class AssignerService:
@@ -38,10 +42,21 @@
         self.reactor, self.config, self.me, self.log, self.life = reactor, config, config.assigner, log, life
         self.tls = tls
         self.settings = settings(config, self.me.id, self.me.zone, self.me.seed)
+        if self.settings.single_writer and self.settings.messages_most:
+            most = max(1, (self.settings.messages_most - 1) // MESSAGES)
+            self.settings = replace(self.settings, messages_most=most)
         limits = ZoneLimits(config.zones.spill)
         self.zoned = ZonedDirector(self.settings, limits) if config.zones.plan else None
         zoned = self.zoned
         self.runtime = Runtime(self.settings, (lambda _: zoned) if zoned is not None else Director)
+        self.handover: Handover | None = None
+        if self.settings.single_writer:
+            writes = [c for c in self.settings.classes if c.effect != "repeatable"]
+            longest = max((c.deadline_s for c in writes), default=0.0)
+            self.handover = Handover(
+                config.charge.write_lease_s, longest, min(longest, PATIENCE * self.settings.bare_s),
+                self.settings.channel_head_lines,
+            )  # fmt: skip
         self.unkept: dict[tuple[int, int], tuple[int, m.Line]] = {}  # by table and server: batch, line
         self.hands: dict[int, int] = {}  # number of the order that stands, by zone
         self.channel = Channel(
@@ -59,6 +74,7 @@
         self.peers: dict[int, Dialler] = {}
         self.tick_at: Any = None
         self.drain_at: Any = None
+        self.handover_at: Any = None
         self.busy_s = 0.0
         self.rounds = 0
         self.orders = 0
@@ -128,6 +144,9 @@
                 zone = self.runtime.proxies.get(stream.tag[1])
                 if zone is not None:
                     self.reports.add(now, stream.tag[1], zone, message)
+            case m.Applied(mark) if stream.tag and stream.tag[0] == "proxy" and mark >= FIRST_MARK:
+                if self.handover is not None:
+                    self._step(self.handover.applied(now, stream.tag[1], mark))
             case m.Applied() if stream.tag and stream.tag[0] == "proxy":
                 took = now - self.marks.get(message.mark, now)
                 self.late_most = max(self.late_most, took)
@@ -159,6 +178,8 @@
         stream.tag = ("proxy", hello.id)
         self.proxies[hello.id] = stream
         self.channel.join(hello.id)
+        if self.handover is not None:
+            self._step(self.handover.joined(now, hello.id))
         self.runtime.joined(now, hello.id, hello.zone, 0.0, hello.fresh)
         self.log.info("proxy_joined", proxy=hello.id, zone=hello.zone, fresh=hello.fresh)
         self._schedule()
@@ -166,6 +187,8 @@
     def _forget_proxy(self, now: float, proxy: int) -> None:
         self.proxies.pop(proxy, None)
         self.channel.leave(proxy)
+        if self.handover is not None:
+            self._step(self.handover.left(now, proxy))
         self.runtime.left(now, proxy)
 
     def _proxy_lost(self, stream: Stream, why: AnyMessage) -> None:
@@ -198,17 +221,28 @@
                         self.log.warning("hand", zone=hand.zone, what=hand.what, by=hand.by)
             case m.Taken():
                 self.unkept = {k: row for k, row in self.unkept.items() if k[0] != message.slice}
+                if self.handover is not None:
+                    self.handover.refused(message.slice)
                 self.runtime.taken(now, message.slice)
                 self.reports.forget_slice(message.slice)
                 self.log.info("slice_taken", slice=message.slice)
             case m.Written():
                 self.unkept = {k: row for k, row in self.unkept.items() if row[0] > message.batch}
+                if self.handover is not None:
+                    self._step(self.handover.written(now, message.batch))
             case m.Refused():
+                if self.handover is not None:
+                    self.handover.refused(message.slice)
                 self.log.warning("write_refused", slice=message.slice, reason=message.reason)
         self._schedule()
 
     def _write_again(self, slices: set[int]) -> None:
         """What the store had not kept when it went away, under the tokens that hold now."""
+        if self.handover is not None:
+            for number in sorted(slices):
+                self.handover.token(number, self.runtime.tokens[number])
+            self._write(self.handover.again())
+            return
         rows = [(k, row) for k, row in self.unkept.items() if k[0] in slices]
         lines = [
             msgspec.structs.replace(line, token=self.runtime.tokens[table]) for (table, _), (_, line) in rows
@@ -314,7 +348,10 @@
 
     def _act(self, now: float, effects: Effects) -> None:
         self.rounds += 1
-        if effects.writes or effects.clears:
+        if self.handover is not None:
+            self._step(self.handover.put(now, effects.batch, effects.writes, effects.orders))
+            effects.orders = []
+        elif effects.writes or effects.clears:
             for line in effects.writes:
                 self.unkept.pop((line.table, line.server), None)  # the newest goes last
                 self.unkept[line.table, line.server] = (effects.batch, line)
@@ -322,12 +359,7 @@
                 self.store.send(m.Write(effects.batch, effects.writes, effects.clears))
             else:
                 self.log.warning("write_waits", batch=effects.batch, lines=len(effects.writes))
-        for proxy, order in effects.orders:
-            self.channel.put(proxy, order)
-            if order.mark is not None:
-                self.marks = {k: at for k, at in self.marks.items() if now - at < 120}
-                self.marks[order.mark] = now
-        self._drain()
+        self._order(now, effects.orders)
         for server in effects.probes:
             self._probe(now, server)
         for peer, data in effects.tells:
@@ -346,6 +378,33 @@
             self.log.info("module", text=text)
         self._log_decision(now, effects)
 
+    def _order(self, now: float, orders: list[tuple[int, m.Order]]) -> None:
+        for proxy, order in orders:
+            self.channel.put(proxy, order)
+            if order.mark is not None:
+                self.marks = {k: at for k, at in self.marks.items() if now - at < 120}
+                self.marks[order.mark] = now
+        self._drain()
+
+    def _write(self, writes: list[tuple[int, list[m.Line]]]) -> None:
+        for batch, lines in writes:
+            if self.store is not None:
+                self.store.send(m.Write(batch, lines))
+
+    def _step(self, steps: Steps) -> None:
+        """Slices with one writer: what a move does now."""
+        assert self.handover is not None
+        now = self.now()
+        self._write(steps.writes)
+        if steps.orders:
+            self._order(now, steps.orders)
+        if self.handover.moves and (self.handover_at is None or not self.handover_at.active()):
+            self.handover_at = self.reactor.callLater(HANDOVER_S, self._handover_due)
+
+    def _handover_due(self) -> None:
+        assert self.handover is not None
+        self._step(self.handover.due(self.now()))
+
     def _log_decision(self, now: float, effects: Effects) -> None:
         kinds = (api.SetLine, api.ClearTable, api.Withdraw, api.Admit, api.BindProxy)
         told = [a for a in effects.actions if isinstance(a, kinds)]
--- a/puffintide/proxy/engine.py
+++ b/puffintide/proxy/engine.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections.abc import Callable, Hashable, Iterable
 from dataclasses import dataclass, field
 
@@ -142,8 +143,8 @@
         self._timer = 0
         self._failed: dict[int, int] = {}  # own failures in a row
         self._shunned: dict[int, float] = {}  # until when
-        # By assigner: from when its slices take no writes.
-        self._no_writes: dict[int, float] = like._no_writes if like else {}
+        # By assigner: until when its slices take writes. None before its first order.
+        self._writes_until: dict[int, float] = like._writes_until if like else {}
 
     def out_at(self, server: int) -> int:
         found = self.servers.get(server)
@@ -153,17 +154,18 @@
 
     def order(self, now: float, assigner: int, order: Order) -> list[Effect]:
         self.tables.order(assigner, order)
+        self._writes_until[assigner] = math.inf  # steered by it: its slices take writes
         return self.look_again(now, order.levels != [])
 
     def charges(self, now: float, charges: Iterable[Charge]) -> list[Effect]:
         for charge in charges:
             self.tables.charge(charge)
-            self._no_writes.pop(charge.assigner, None)
         return self.look_again(now)
 
     def assigner_lost(self, now: float, assigner: int) -> None:
-        """Where slices have one writer, its take writes a lease longer, then none until the store is read."""
-        self._no_writes.setdefault(assigner, now + self.limits.write_lease_s)
+        """Where slices have one writer, its take writes a lease longer, then none until it orders again."""
+        until = self._writes_until.get(assigner, 0.0)
+        self._writes_until[assigner] = min(until, now + self.limits.write_lease_s)
 
     def look_again(self, now: float, levels: bool = False) -> list[Effect]:
         """Held requests look once more; a level of 0 stops them."""
@@ -204,7 +206,17 @@
     def _may_write(self, now: float, request: _Request) -> bool:
         if not self.limits.single_writer or self.limits.kinds[request.request_class].effect == "repeatable":
             return True
-        return now < self._no_writes.get(self.tables.tables[request.slice].assigner, now + 1)
+        return now < self._writes_until.get(self.tables.tables[request.slice].assigner, 0.0)
+
+    def writing(self, slices: Iterable[int]) -> bool:
+        """Whether a write to any of these slices is at a server."""
+        wanted = set(slices)
+        return any(
+            r.sent_at is not None
+            and r.slice in wanted
+            and self.limits.kinds[r.request_class].effect != "repeatable"
+            for r in self.requests.values()
+        )
 
     def _place(self, now: float, key: int) -> list[Effect]:
         """Picks a server; without one the request is held for a while."""
--- a/puffintide/proxy/service.py
+++ b/puffintide/proxy/service.py
@@ -23,6 +23,7 @@
 
 SAVE_S = 1.0
 STATS_S = 10.0
+WRITES_S = 0.02  # how often writes in hand are looked at
 
 
 def limits(config: Config, me: ProxyProcess) -> Limits:
@@ -155,12 +156,22 @@
                     if self.http is not None:
                         self.http.do(self.http.engine.look_again(self.now(), message.levels != []))
                     if message.mark is not None:
-                        stream.send(m.Applied(message.mark))
+                        self._applied(stream, message.mark, message.clear)
                 case _:
                     stream.refuse(f"a {type(message).__name__} is not for a proxy")
 
         return message
 
+    def _applied(self, stream: Stream, mark: int, cleared: Sequence[int]) -> None:
+        """Where slices have one writer, a table that is let go of is so once our writes there have ended."""
+        if stream.ended:
+            return
+        engines = [self.engine] + ([self.http.engine] if self.http is not None else [])
+        if cleared and self.engine.limits.single_writer and any(e.writing(cleared) for e in engines):
+            self.reactor.callLater(WRITES_S, self._applied, stream, mark, cleared)
+        else:
+            stream.send(m.Applied(mark))
+
     def _assigner_lost(self, number: int) -> Callable[[str], None]:
         def lost(why: str) -> None:
             if self.assigners.pop(number, None) is not None:
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,225 @@
+"""Slices with one writer: whatever proxies, store and time do, no two servers have writes at once."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+
+from puffintide.assigner.handover import FIRST_MARK, Handover, Steps
+from puffintide.wire.messages import Line, Order
+
+LEASE, LONGEST = 1.0, 2.0
+
+
+def line(number: int, server: int, token: int = 1) -> Line:
+    return Line(number, server, 1.0, token)
+
+
+def batch(
+    number: int, lines: list[Line], proxies: list[int], out: list[int] | None = None
+) -> tuple[int, list[Line], list[tuple[int, Order]]]:
+    return number, lines, [(p, Order(number, 0.0, 9.0, lines, out=out or [], mark=7)) for p in proxies]
+
+
+def made(patience_s: float = 10.0) -> Handover:
+    found = Handover(LEASE, LONGEST, patience_s, 2.0)
+    for proxy in (0, 1):
+        found.joined(0.0, proxy)
+    return found
+
+
+def lines_of(steps: Steps) -> dict[int, list[int]]:
+    return {p: [x.server for x in o.lines] for p, o in steps.orders if o.lines}
+
+
+def test_stop_then_keep_then_go() -> None:
+    h = made()
+    steps = h.put(1.0, *batch(5, [line(3, 8)], [0, 1], out=[4]))
+    stops = {p: o for p, o in steps.orders if o.clear}
+    assert set(stops) == {0, 1} and all(o.clear == [3] and not o.lines for o in stops.values())
+    assert len(steps.orders) == 2 and all(o.out == [4] for o in stops.values())  # withdrawals don't wait
+    assert steps.writes == []
+    mark = stops[0].mark
+    assert mark is not None and mark >= FIRST_MARK
+    assert h.applied(1.2, 0, mark) == Steps()
+    kept = h.applied(1.4, 1, mark)
+    assert kept.writes == [(5, [line(3, 8)])] and kept.orders == []
+    assert h.written(1.5, 4) == Steps()
+    assert lines_of(h.written(1.6, 5)) == {0: [8], 1: [8]} and not h.moves
+
+
+def test_batches_follow_each_other_and_those_that_wait_go_as_one() -> None:
+    h = made()
+    first = h.put(1.0, *batch(5, [line(3, 8)], [0, 1]))
+    assert h.put(1.1, *batch(6, [line(3, 7), line(4, 9)], [0, 1])).orders == []
+    assert (
+        len(h.put(1.1, *batch(7, [line(3, 9)], [0, 1], out=[2])).orders) == 2
+    )  # what is beside goes at once
+    for proxy in (0, 1):
+        h.applied(1.2, proxy, first.orders[0][1].mark or 0)
+    after = h.written(1.3, 5)
+    assert lines_of(after) == {0: [8], 1: [8]}
+    stops = [o for _, o in after.orders if o.clear]
+    assert [o.clear for o in stops] == [[3, 4], [3, 4]]
+    for proxy in (0, 1):
+        h.applied(1.4, proxy, stops[0].mark or 0)
+    went = h.written(1.5, 7)
+    assert [sorted((x.table, x.server) for x in o.lines) for _, o in went.orders] == [[(3, 9), (4, 9)]] * 2
+
+
+def test_a_slice_that_is_anothers_by_now_goes_to_nobody() -> None:
+    h = made()
+    steps = h.put(1.0, *batch(5, [line(3, 8), line(4, 8)], [0, 1]))
+    for proxy in (0, 1):
+        h.applied(1.2, proxy, steps.orders[0][1].mark or 0)
+    h.refused(3)
+    assert all([x.table for x in o.lines] == [4] for _, o in h.written(1.3, 5).orders)
+
+
+def test_who_went_away_is_waited_out_and_who_comes_gets_the_lines_first() -> None:
+    h = made()
+    steps = h.put(1.0, *batch(5, [line(3, 8)], [0, 1]))
+    h.applied(1.1, 0, steps.orders[0][1].mark or 0)
+    assert h.left(1.2, 1).writes == []
+    assert h.joined(1.5, 1).orders == []  # back: its first order comes with the lines
+    assert h.due(1.2 + LEASE + LONGEST - 0.01).writes == []
+    assert h.due(1.2 + LEASE + LONGEST).writes != []
+    assert lines_of(h.written(4.5, 5)) == {0: [8], 1: [8]}
+    assert [p for p, _ in h.joined(5.0, 2).orders] == [2]  # no move: at once
+
+
+def test_patience_ends_and_a_store_that_is_away_is_waited_for() -> None:
+    h = made(patience_s=1.5)
+    h.put(1.0, *batch(5, [line(3, 8)], [0, 1]))
+    assert h.due(2.4).writes == [] and h.due(2.5).writes != []
+    assert h.due(900.0) == Steps() and h.again() == [(5, [line(3, 8)])]
+    h.token(3, 44)
+    assert h.again() == [(5, [line(3, 8, 44)])]
+    assert all(x.token == 44 for _, o in h.written(901.0, 5).orders for x in o.lines)
+
+
+class Site:
+    """Proxies with writes in hand, a store, and messages that take their time."""
+
+    def __init__(self, seed: int, patience_s: float = 50.0) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.h = Handover(LEASE, LONGEST, patience_s, 2.0)
+        self.table: dict[int, int | None] = {}  # the one slice's server, by proxy
+        self.steered: dict[int, float] = {}  # until when each proxy takes writes
+        self.writes: list[tuple[int, int, float]] = []  # proxy, server, when it ends
+        self.post: list[tuple[float, int, str, Any]] = []
+        self.order = 0
+        self.kept = 0
+        self.most = 0
+
+    def send(self, what: str, data: Any, late: float = 0.4) -> None:
+        self.order += 1
+        self.post.append((self.now + self.rng.uniform(0.01, late), self.order, what, data))
+
+    def take(self, steps: Steps) -> None:
+        for proxy, order in steps.orders:
+            last = max((at for at, _, w, d in self.post if w == "order" and d[0] == proxy), default=0.0)
+            self.order += 1
+            at = max(last, self.now + self.rng.uniform(0.01, 0.4)) + 1e-6  # in order on one stream
+            self.post.append((at, self.order, "order", (proxy, self.life.get(proxy, 0), order)))
+        for number, lines in steps.writes:
+            self.send("write", (number, lines[0].server if lines else None))
+
+    life: dict[int, int]
+
+    def busy(self, proxy: int) -> bool:
+        return any(p == proxy and end > self.now for p, _, end in self.writes)
+
+    def run(self) -> int:
+        self.life = {}
+        moves = 0
+        for proxy in range(3):
+            self.life[proxy] = 1
+            self.table[proxy] = self.kept
+            self.take(self.h.joined(self.now, proxy))
+        for _ in range(1500):
+            self.now += 0.02
+            for item in sorted(i for i in self.post if i[0] <= self.now):
+                self.post.remove(item)
+                self.arrive(item[2], item[3])
+            self.take(self.h.due(self.now))
+            for proxy in list(self.life):
+                server = self.table.get(proxy)
+                if server is not None and self.steered.get(proxy, 0.0) > self.now and self.rng.random() < 0.2:
+                    self.writes.append((proxy, server, self.now + self.rng.uniform(0.0, LONGEST)))
+            if self.rng.random() < 0.01:
+                moves += 1
+                new = self.rng.randrange(10)
+                self.take(
+                    self.h.put(
+                        self.now,
+                        moves,
+                        [line(0, new)],
+                        [(p, Order(moves, 0.0, 3.0, [line(0, new)])) for p in self.up],
+                    )
+                )
+            if self.rng.random() < 0.004 and self.up:
+                self.cut(self.rng.choice(self.up))
+            self.writes = [w for w in self.writes if w[2] > self.now]
+            servers = {s for _, s, _ in self.writes}
+            self.most = max(self.most, len(servers))
+        return moves
+
+    @property
+    def up(self) -> list[int]:
+        return sorted(self.h.proxies)
+
+    def cut(self, proxy: int) -> None:
+        """Its stream breaks: both sides know at once, and it joins again later and reads the store."""
+        self.life[proxy] += 1
+        self.steered[proxy] = min(self.steered.get(proxy, 0.0), self.now + LEASE)
+        self.take(self.h.left(self.now, proxy))
+        self.send("back", proxy, 4.0)
+
+    def arrive(self, what: str, data: Any) -> None:
+        if what == "write":
+            number, server = data
+            self.kept = server if server is not None else self.kept
+            self.send("written", number)
+        elif what == "written":
+            self.take(self.h.written(self.now, data))
+        elif what == "back":
+            assert isinstance(data, int)
+            self.table[data] = self.kept
+            self.steered[data] = 0.0
+            self.take(self.h.joined(self.now, data))
+        elif what == "applied":
+            proxy, life, mark = data
+            if self.life[proxy] == life:
+                if self.busy(proxy):
+                    self.send("applied", data, 0.05)
+                else:
+                    self.take(self.h.applied(self.now, proxy, mark))
+        else:
+            proxy, life, order = data
+            if self.life[proxy] != life:
+                return
+            self.steered[proxy] = 1e9
+            if order.clear:
+                self.table[proxy] = None
+            for x in order.lines:
+                self.table[proxy] = x.server
+            if order.mark is not None and order.mark >= FIRST_MARK:
+                self.send("applied", (proxy, life, order.mark), 0.05)
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_no_two_servers_have_writes_at_once(seed: int) -> None:
+    site = Site(seed)
+    assert site.run() > 5
+    assert site.most == 1
+
+
+def test_without_waiting_there_would_be_two() -> None:
+    sites = [Site(seed, patience_s=0.0) for seed in range(10)]
+    for site in sites:
+        site.run()
+    assert max(site.most for site in sites) > 1
