--- a/puffintide/zones/director.py
+++ b/puffintide/zones/director.py
@@ -31,4 +31,4 @@
 
     def _view(self) -> dict[int, View]:
         seen = self.director.servers
-        return {s: View(v.level > 0, v.load, self.director.warmth(s)) for s, v in sorted(seen.items())}
+        return {s: View(v.level > 0, v.load) for s, v in sorted(seen.items())}
--- a/puffintide/zones/plan.py
+++ b/puffintide/zones/plan.py
@@ -41,11 +41,10 @@
 
 @dataclass(frozen=True, slots=True)
 class View:
-    """What the module knows of a server: whether it is not ejected, its busy share, how warm it is (0 to 1)."""
+    """What the module knows of a server: whether it is not ejected, and its busy share."""
 
     answering: bool
     load: float | None
-    warm: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,7 +152,7 @@
             zone.hand, zone.pace, zone.since = what, pace, now
         elif zone.hand:
             zone.hand, zone.pace, zone.losses = "", pace, []
-            self._begin_return(now, number, {})
+            self._begin_return(now, number)
         else:
             zone.pace = pace
 
@@ -208,9 +207,9 @@
             if share < LOST_BELOW and zone.phase != LOST:
                 self._lose(now, zone, number)
             elif zone.phase == LOST and share >= BACK_FROM:
-                self._regain(now, zone, number, view)
+                self._regain(now, zone, number)
             elif zone.phase == HELD and now >= zone.until:
-                self._begin_return(now, number, view)
+                self._begin_return(now, number)
             elif zone.phase == RETURNING and not any(s in self.growth for s in self._of(number)):
                 zone.phase, zone.cause = WELL, ""
                 self._forget(number)
@@ -228,7 +227,7 @@
         for sid in [s for s in self.growth if self.servers[s].zone == number]:
             del self.growth[sid]
 
-    def _regain(self, now: float, zone: _Zone, number: int, view: Mapping[int, View]) -> None:
+    def _regain(self, now: float, zone: _Zone, number: int) -> None:
         """The first return is at once, as a zone that is not flapping is wanted back. Each further one within
         FLAP_S waits twice as long: n flaps cost some log n returns, and no more than one a HOLD_MOST_S."""
         again = len(zone.losses) - 1
@@ -236,16 +235,16 @@
             zone.phase, zone.cause = HELD, f"lost {again + 1} times"
             zone.until = now + min(HOLD_MOST_S, HOLD_S * 2.0 ** (again - 1))
         else:
-            self._begin_return(now, number, view)
+            self._begin_return(now, number)
 
-    def _begin_return(self, now: float, number: int, view: Mapping[int, View]) -> None:
+    def _begin_return(self, now: float, number: int) -> None:
         """Cold servers are left to the module, which lets them have more as they warm. Warm ones, of a zone that
         was cut off or struck from the list, would get all their slices back at once: theirs grows from START."""
         zone = self.zones[number]
         zone.phase, zone.cause, zone.since = RETURNING, "", now
         self.behind -= {s for s in self.behind if self.servers[s].zone == number}
         for sid in self._of(number):
-            self.growth[sid] = 1.0 if sid in view and view[sid].warm < 1 else START
+            self.growth[sid] = 1.0 if self._cold(now, sid) else START
 
     def _grow(self, now: float, number: int, view: Mapping[int, View]) -> None:
         """A return goes up while the zone stands it, down when it does not. Servers that came later
@@ -256,15 +255,17 @@
         if now <= zone.since:
             return
         ready = self._of(number)
-        cold = {s for s in ready if s in view and view[s].warm < 1}
+        cold = {s for s in ready if self._cold(now, s)}
         for sid in ready:  # those that come in during the return
             if sid not in self.growth and sid not in self.bounds:
                 self.growth[sid] = START if sid in self.behind or sid not in cold else 1.0
         growing = [s for s in ready if s in self.growth]
         front = [s for s in growing if s not in self.behind] or growing
-        loads = [view[s].load or 0.0 for s in front if s in view]
-        mean = sum(loads) / len(loads) if loads else 0.0
-        step = RATE * max(0.0, min(PAUSE_S, now - self.last)) * zone.pace * ((mean <= CALM) - (mean > HOT))
+        mean = self._mean(front, view)
+        # Where the others are as full, going back would only make them fuller.
+        others = self._mean([s for z in self.zones if z != number for s in self._of(z)], view)
+        sign = 1 if mean <= max(CALM, others) else -1 if mean > HOT else 0
+        step = RATE * max(0.0, min(PAUSE_S, now - self.last)) * zone.pace * sign
         for sid in front:
             if self.growth[sid] < 1:
                 self.growth[sid] = max(START, self.growth[sid] + step)
@@ -272,6 +273,16 @@
                 del self.growth[sid]
                 self.behind.discard(sid)
 
+    def _cold(self, now: float, sid: int) -> bool:
+        """By the list alone: the module may not have seen yet that the server is a new one."""
+        started = self.servers[sid].started
+        return started > 0 and now - started < self.set.warm_within_s
+
+    @staticmethod
+    def _mean(servers: list[int], view: Mapping[int, View]) -> float:
+        loads = [view[s].load or 0.0 for s in servers if s in view]
+        return sum(loads) / len(loads) if loads else 0.0
+
     def _learn(self, now: float, view: Mapping[int, View]) -> None:
         """Each zone's load while nothing is wrong: what it needs for itself when it has to take from others."""
         if any(z.phase != WELL or z.hand for z in self.zones.values()):
