--- a/puffintide/days/scenes.py
+++ b/puffintide/days/scenes.py
@@ -20,6 +20,10 @@
 
 
 LOSS = {"kind": "zone_loss", "at_s": "12", "for_s": "15", "zone": "0"}
+LEVELS = {
+    "deployment": {"admit": "fraction"},
+    "reports": {"names": "busy, rif"},
+}  # as sites with levels report
 THREE = {"deployment": {"zones": "north, south, east", "proxies": "9"}, "fleet": {"servers": "12"}}
 
 
@@ -40,7 +44,7 @@
     "loss-full": Scene(
         "lost at a load that the rest can't carry; proxies let in as told",
         {"zone": LOSS},
-        {"deployment": {"admit": "fraction"}, "load": {"requests_per_s": "190"}},
+        LEVELS | {"load": {"requests_per_s": "190"}},
     ),
     "loss-full-silent": Scene(
         "the same where proxies let everything in", {"zone": LOSS}, {"load": {"requests_per_s": "190"}}
@@ -63,10 +67,7 @@
     "return-while-hot": Scene(
         "it returns while demand rises past what the other can carry",
         {"zone": LOSS},
-        {
-            "deployment": {"admit": "fraction"},
-            "load": {"requests_per_s": "190", "shape": "0:0.6, 24:0.6, 30:1.0, 60:1.0"},
-        },
+        LEVELS | {"load": {"requests_per_s": "190", "shape": "0:0.6, 24:0.6, 30:1.0, 60:1.0"}},
     ),
     "half-back": Scene(
         "half of its servers do not return",
