Handover's times and message budget stand in its pure module

Cause: how long writes are waited for and how many messages the module may send stood in the assigner's I/O. Change: handover_for and budgeted in assigner/handover.py; a test of writes in hand.

--- a/puffintide/assigner/handover.py
+++ b/puffintide/assigner/handover.py
@@ -14,13 +14,15 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 
+from puffintide import interface as api
 from puffintide.wire.messages import Line, Order
 
 FIRST_MARK = 1 << 20  # the module's own are below 2^16
+PATIENCE = 0.8  # of the time that a slice may be without a server, for writes in hand to end
 MESSAGES = 2  # to a proxy for each batch, where the module counts one
 STOP, KEEP = "stop", "keep"
 
@@ -170,6 +172,21 @@
         return steps
 
 
+def handover_for(settings: api.Settings, lease_s: float) -> Handover | None:
+    """None where slices may have several writers."""
+    if not settings.single_writer:
+        return None
+    longest = max((c.deadline_s for c in settings.classes if c.effect != "repeatable"), default=0.0)
+    return Handover(lease_s, longest, min(longest, PATIENCE * settings.bare_s), settings.channel_head_lines)
+
+
+def budgeted(settings: api.Settings) -> api.Settings:
+    """What the module is told, so that all of a batch's messages stay within messages_most."""
+    if not settings.messages_most:
+        return settings
+    return replace(settings, messages_most=max(1, (settings.messages_most - 1) // MESSAGES))
+
+
 def _joined(first: _Move, second: _Move) -> _Move:
     """Two batches as one: of a slice that both move, the later line counts."""
     again = {line.table for line in second.lines}
--- a/puffintide/assigner/service.py
+++ b/puffintide/assigner/service.py
@@ -6,7 +6,6 @@
 import random
 import time
 from collections.abc import Callable
-from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -14,7 +13,7 @@
 from puffintide import interface as api
 from puffintide.assigner.cache import CacheError, load_list, save_list
 from puffintide.assigner.channel import Channel
-from puffintide.assigner.handover import FIRST_MARK, MESSAGES, Handover, Steps
+from puffintide.assigner.handover import FIRST_MARK, Steps, budgeted, handover_for
 from puffintide.assigner.reports import Gatherer
 from puffintide.assigner.runtime import Effects, Runtime
 from puffintide.config.loader import Config, settings
@@ -28,7 +27,6 @@
 from puffintide.zones.plan import ZoneLimits
 
 STATS_S = 5.0
-PATIENCE = 0.8  # of the time that a slice may be without a server, for writes in hand to end
 HANDOVER_S = 0.02  # how often a move under way is looked at
 
 
@@ -42,21 +40,13 @@
         self.reactor, self.config, self.me, self.log, self.life = reactor, config, config.assigner, log, life
         self.tls = tls
         self.settings = settings(config, self.me.id, self.me.zone, self.me.seed)
-        if self.settings.single_writer and self.settings.messages_most:
-            most = max(1, (self.settings.messages_most - 1) // MESSAGES)
-            self.settings = replace(self.settings, messages_most=most)
+        self.handover = handover_for(self.settings, config.charge.write_lease_s)
+        if self.handover is not None:
+            self.settings = budgeted(self.settings)
         limits = ZoneLimits(config.zones.spill)
         self.zoned = ZonedDirector(self.settings, limits) if config.zones.plan else None
         zoned = self.zoned
         self.runtime = Runtime(self.settings, (lambda _: zoned) if zoned is not None else Director)
-        self.handover: Handover | None = None
-        if self.settings.single_writer:
-            writes = [c for c in self.settings.classes if c.effect != "repeatable"]
-            longest = max((c.deadline_s for c in writes), default=0.0)
-            self.handover = Handover(
-                config.charge.write_lease_s, longest, min(longest, PATIENCE * self.settings.bare_s),
-                self.settings.channel_head_lines,
-            )  # fmt: skip
         self.unkept: dict[tuple[int, int], tuple[int, m.Line]] = {}  # by table and server: batch, line
         self.hands: dict[int, int] = {}  # number of the order that stands, by zone
         self.channel = Channel(
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -534,3 +534,14 @@
         assert found.opening <= max(before, min(1 + stood, 6)) and found.standing + found.opening <= 6
         # Whoever waits will have an answer: a connection is under way, or one that stands is in use.
         assert not waiting or found.opening or found.standing
+
+
+def test_a_write_in_hand_is_told_as_such_and_a_reading_is_not() -> None:
+    e = engine(single_writer=True)
+    e.order(9.5, 0, m.Order(1, 0.0, 1.0))
+    for ref, kind in ((1, READ), (2, KEYED)):
+        for c in only(e.asked(10.0, ref, ref, 0, kind, 4.0), Connect):
+            e.server_up(10.0, c.server)
+        assert e.writing([0]) is (kind == KEYED) and not e.writing([1])
+    e.due(60.0)
+    assert not e.writing([0])
