A test on sockets that a proxy answers a stop only once its writes have ended

Cause: broken on purpose, the wait of the proxy for its own writes failed no test: the model in test_handover plays it, and does not run it. Change: a test with a real proxy, a write in hand and a stop.

--- a/tests/test_proxy_service.py
+++ b/tests/test_proxy_service.py
@@ -29,15 +29,15 @@
         self.tokens = itertools.count(1)
 
     @contextlib.contextmanager
-    def running(self, **section: str) -> Iterator[Any]:
+    def running(self, deployment: dict[str, str] | None = None, **section: str) -> Iterator[Any]:
         made = {
             "id": "3", "listen": f"127.0.0.1:{self.port}", "store": f"127.0.0.1:{self.store.port}",
             "assigners": f"127.0.0.1:{self.order.port}", "state": str(self.tmp / "tables.json"),
             "connect_s": "2", **section,
         }  # fmt: skip
-        with process(
-            self.tmp, "proxy", made, deployment={"assigners": "1", "slices": "1", **ADMIT}
-        ) as running:
+        one = {"assigners": "1", "slices": "1", **ADMIT, **(deployment or {})}
+        pay = {"class pay": {"effect": "once", "aim_s": "1", "deadline_s": "4"}}
+        with process(self.tmp, "proxy", made, deployment=one, **pay) as running:
             yield running
 
     def steer(self) -> tuple[Line, Line]:
@@ -261,3 +261,24 @@
         client.send(m.Ask(2, 0, 5, 3.0))
         tried = setting.servers[0].accept("server").until(lambda x: isinstance(x, m.Try))
         assert tried.request == 2
+
+
+def test_with_one_writer_a_stop_is_answered_once_the_write_has_ended(setting: Setting) -> None:
+    with setting.running(deployment={"single_writer": "yes"}):
+        assigner, store = setting.steer()
+        store.send(setting.charge(0))
+        time.sleep(0.3)
+        client = setting.client()
+        client.send(m.Ask(1, 1, 5, 3.0))
+        assert reply(client, 1).status == m.FULL  # no write before the assigner's first order
+        assigner.send(m.Order(1, 0.0, 1.0))
+        time.sleep(0.2)
+        client.send(m.Ask(2, 1, 5, 3.0))
+        server = setting.servers[0].accept("server")
+        tried = server.until(lambda x: isinstance(x, m.Try))
+        assigner.send(m.Order(2, 0.0, 1.0, clear=[0], mark=1 << 20))
+        with pytest.raises(TimeoutError):
+            assigner.until(lambda x: isinstance(x, m.Applied), 0.5)
+        server.send(m.Answer(tried.id, m.OK))
+        assert reply(client, 2).status == m.OK
+        assert assigner.until(lambda x: isinstance(x, m.Applied)).mark == 1 << 20
