--- /dev/null
+++ b/tests/deployment.py
@@ -0,0 +1,436 @@
+"""A whole deployment in one process on a virtual clock: the program's real services and stand-ins, joined by
+connections in memory through the days' relay, whose records `puffintide.audit` judges. Seeded; nothing sleeps.
+"""
+
+from __future__ import annotations
+
+import configparser
+import json
+from collections import deque
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+
+from puffintide.assigner.service import AssignerService
+from puffintide.config.loader import Config, load
+from puffintide.config.schema import AssignerProcess, ProxyProcess
+from puffintide.days.faults import Step, plan
+from puffintide.days.place import Place, at
+from puffintide.days.tap import Bend, Link, Tap
+from puffintide.days.verdict import Verdict, judge
+from puffintide.proxy.service import ProxyService
+from puffintide.standins.clients import Clients
+from puffintide.standins.fleet import FleetService
+from puffintide.store.book import Book
+from puffintide.store.engine import Change, Image, StoreError
+from puffintide.store.service import StoreService
+from puffintide.wire.messages import Held
+
+START = 1000.0
+WINDOW = 64 << 10  # bytes under way to a reader before its writer is told to pause
+
+SECTIONS: dict[str, dict[str, Any]] = {
+    "day": {"name": "t", "length_s": 20, "seed": 5, "settle_s": 3},
+    "deployment": {"name": "t", "zones": "a, b", "assigners": 2, "proxies": 4, "slices": 16, "warm_keys": "yes",
+                   "retry_default": 1, "shun_after": 3, "hold_s": 0.3},
+    "channel": {"lines_per_s": 3000, "limit": 4500, "delay_s": 0.1, "delay_max_s": 0.4, "messages_most": 20},
+    "reports": {"names": "rif"},
+    "probes": {"allowed": "yes"},
+    "rules": {"drain_grace_s": 2, "cold_from": 0.3, "warm_within_s": 8, "bare_s": 4},
+    "charge": {"takeover_s": 2},
+    "class status": {"share": 0.6, "aim_s": 0.75, "deadline_s": 2.5, "worth": 3, "work_s": 0.05},
+    "class start": {"share": 0.2, "effect": "by_key", "window_s": 5, "aim_s": 1.5, "deadline_s": 4, "work_s": 0.08},
+    "class charge": {"share": 0.2, "effect": "once", "aim_s": 1.5, "deadline_s": 4, "work_s": 0.08},
+    "fleet": {"servers": 8, "spare": 2, "cores": 1, "cold_from": 0.4, "warm_s": 7, "cache_gain": 0.3},
+    "load": {"requests_per_s": 60, "keys": 400},
+}  # fmt: skip
+
+
+class Reactor(Clock):
+    """Time, ports and connections of the made-up machine."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.rightNow = START
+        self.ports: dict[int, tuple[Any, Party]] = {}
+
+    def until(self, when: float) -> None:
+        while self.calls and self.calls[0].getTime() <= when:
+            self.advance(max(0.0, self.calls[0].getTime() - self.rightNow))
+        self.rightNow = max(self.rightNow, when)
+
+
+class Party:
+    """What one process sees of the reactor. It ends with the process, and stands still with it."""
+
+    def __init__(self, net: Reactor) -> None:
+        self.net, self.alive, self.stopped = net, True, False
+        self.backlog: deque[tuple[Callable[..., Any], tuple[Any, ...]]] = deque()
+        self.pipes: list[Pipe] = []
+        self.running = True
+
+    def seconds(self) -> float:
+        return float(self.net.seconds())
+
+    def callLater(self, delay: float, call: Callable[..., Any], *args: Any) -> Any:
+        return self.net.callLater(delay, self.run, call, *args)
+
+    def run(self, call: Callable[..., Any], *args: Any) -> None:
+        if self.alive and self.stopped:
+            self.backlog.append((call, args))
+        elif self.alive:
+            call(*args)
+
+    def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> Listener:
+        self.net.ports[port] = (factory, self)
+        return Listener(self.net, port)
+
+    def connectTCP(self, host: str, port: int, factory: Any, timeout: float = 30.0) -> Connector:
+        return Connector(self, port, factory)
+
+    def stop(self) -> None:
+        self.running = False
+
+    def kill(self) -> None:
+        self.alive = False
+        self.net.ports = {p: row for p, row in self.net.ports.items() if row[1] is not self}
+        for pipe in self.pipes:
+            pipe.abortConnection()
+
+    def wake(self) -> None:
+        self.stopped = False
+        while self.backlog and self.alive and not self.stopped:
+            call, args = self.backlog.popleft()
+            call(*args)
+
+
+class Listener:
+    def __init__(self, net: Reactor, port: int) -> None:
+        self.net, self.port = net, port
+
+    def stopListening(self) -> None:
+        self.net.ports.pop(self.port, None)
+
+
+class Connector:
+    def __init__(self, party: Party, port: int, factory: Any) -> None:
+        self.party, self.port, self.factory = party, port, factory
+        self.pipe: Pipe | None = None
+        self.call: Any = party.callLater(0.0002, self._connect)
+
+    def _connect(self) -> None:
+        factory, other = self.party.net.ports.get(self.port, (None, None))
+        if factory is None or other is None:
+            self.factory.clientConnectionFailed(self, Failure(ConnectionRefusedError()))
+            return
+        near, far = Pipe(self.party), Pipe(other)
+        near.peer, far.peer, self.pipe = far, near, near
+        far.accept(factory)
+        near.made(self.factory.buildProtocol(None))
+
+    def disconnect(self) -> None:
+        if self.pipe is not None:
+            self.pipe.loseConnection()
+        elif self.call.active():
+            self.call.cancel()
+
+
+class Pipe:
+    """One end of a connection in memory, as a transport."""
+
+    def __init__(self, party: Party) -> None:
+        self.party = party
+        party.pipes.append(self)
+        self.peer: Any = None
+        self.protocol: Any = None
+        self.inbox: deque[bytes | None] = deque()
+        self.size = 0
+        self.reading, self.gone, self.held_back = True, False, False
+        self.disconnecting = False
+        self.producer: Any = None
+
+    def accept(self, factory: Any) -> None:
+        self.party.run(lambda: self.made(factory.buildProtocol(None)))
+
+    def made(self, protocol: Any) -> None:
+        self.protocol = protocol
+        protocol.makeConnection(self)
+        self._pump()
+
+    def write(self, data: bytes) -> None:
+        if self.gone or self.peer.gone:
+            return
+        self.peer.inbox.append(data)
+        self.peer.size += len(data)
+        if self.peer.size > WINDOW and self.producer is not None and not self.held_back:
+            self.held_back = True
+            self.producer.pauseProducing()
+        self.peer.party.callLater(0.0, self.peer._pump)
+
+    def _pump(self) -> None:
+        while self.inbox and self.reading and self.protocol is not None and not self.gone:
+            data = self.inbox.popleft()
+            if data is None:
+                self._lost()
+                return
+            self.size -= len(data)
+            self.protocol.dataReceived(data)
+        if self.peer.held_back and self.size <= WINDOW:
+            self.peer.held_back = False
+            self.peer.party.callLater(0.0, self.peer._drained)
+
+    def _drained(self) -> None:
+        if self.producer is not None and not self.gone:
+            self.producer.resumeProducing()
+
+    def _lost(self) -> None:
+        if not self.gone:
+            self.gone = True
+            self.party.pipes.remove(self)
+            if self.protocol is not None:
+                self.protocol.connectionLost(Failure(ConnectionDone()))
+
+    def loseConnection(self) -> None:
+        self.disconnecting = True
+        if not self.gone and not self.peer.gone:
+            self.peer.inbox.append(None)
+            self.peer.party.callLater(0.0, self.peer._pump)
+        self.party.callLater(0.0, self._lost)
+
+    def abortConnection(self) -> None:
+        self.peer.inbox.clear()
+        self.peer.party.callLater(0.0, self.peer._lost)
+        self.party.callLater(0.0, self._lost)
+
+    def registerProducer(self, producer: Any, streaming: bool) -> None:
+        self.producer = producer
+
+    def unregisterProducer(self) -> None:
+        self.producer = None
+
+    def pauseProducing(self) -> None:
+        self.reading = False
+
+    def resumeProducing(self) -> None:
+        self.reading = True
+        self.party.callLater(0.0, self._pump)
+
+    def setTcpNoDelay(self, on: bool) -> None:
+        pass
+
+
+class Kept:
+    """A store's engine that outlives its process, and refuses while `full`."""
+
+    def __init__(self) -> None:
+        self.image, self.full = Image("t"), False
+
+    def load(self) -> Image:
+        return self.image
+
+    def commit(self, change: Change) -> None:
+        if self.full:
+            raise StoreError("no space left")
+        self.image.revision, self.image.token = change.revision, change.token
+        self.image.slices |= {s.slice: s for s in change.slices}
+        self.image.revisions |= {s.slice: change.revision for s in change.slices}
+        self.image.hands |= {h.zone: h for h in change.hands}
+
+    def backup(self, path: str) -> int:
+        raise StoreError("not in tests")
+
+    def beat(self) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+
+class Log:
+    """Events of one process, as the program logs them."""
+
+    def __init__(self) -> None:
+        self.rows: list[tuple[str, dict[str, Any]]] = []
+
+    def _add(self, event: str, **what: Any) -> None:
+        if event not in ("stats", "decision", "list"):
+            self.rows.append((event, what))
+
+    info = warning = error = critical = _add
+
+
+class Deployment:
+    """faults: as in a day's file. steps: (when, call with this deployment) beside them; times since the first
+    request. changes: keys of sections."""
+
+    def __init__(
+        self,
+        out: Path,
+        faults: dict[str, dict[str, Any]] | None = None,
+        steps: list[tuple[float, Callable[[Deployment], Any]]] | None = None,
+        **changes: dict[str, Any],
+    ) -> None:
+        out.mkdir(parents=True, exist_ok=True)
+        self.out, self.steps = out, steps or []
+        named = {f"fault {n}": f for n, f in (faults or {}).items()}
+        made = configparser.ConfigParser(interpolation=None)
+        names = dict.fromkeys([*SECTIONS, *changes])
+        made.read_dict({n: SECTIONS.get(n, {}) | changes.get(n, {}) for n in names} | named)
+        with (out / "day.ini").open("w", encoding="utf-8") as file:
+            made.write(file)
+        self.config: Config = load(str(out / "day.ini"), ("day", "fleet", "load"))
+        assert self.config.day is not None and self.config.fleet is not None
+        self.day = self.config.day
+        self.net, self.engine, self.notes = Reactor(), Kept(), list[dict[str, Any]]()
+        self.log: dict[str, Log] = {}
+        self.party: dict[str, Party] = {}
+        self.lives: dict[str, int] = {}
+        self.assigners: dict[int, AssignerService] = {}
+        self.proxies: dict[int, ProxyService] = {}
+        self.place = self._lay()
+        self._tables()
+        self._begin()
+
+    # Parties --------------------------------------------------------------------------------------
+
+    def _lay(self) -> Place:
+        d, f = self.config.deployment, self.config.fleet
+        assert f is not None
+        zones, count = len(d.zones), f.servers + f.spare
+        place = Place(1, 2, [10 + k for k in range(d.assigners)], [100 + s for s in range(count)],
+                      [1000 + p for p in range(d.proxies)])  # fmt: skip
+        place.links = [Link("store", "store", 5001, at(1)), Link("list", "list", 5002, at(2))]
+        place.links += [Link(f"order:{k}", "order", 5010 + k, at(p), k % zones, k)
+                        for k, p in enumerate(place.assigners)]  # fmt: skip
+        place.links += [
+            Link(f"try:{s}", "try", 5100 + s, at(p), s % zones, s) for s, p in enumerate(place.servers)
+        ]
+        return place
+
+    def _tables(self) -> None:
+        d, f = self.config.deployment, self.config.fleet
+        assert f is not None
+        rows = {n: [Held(n % f.servers, 1.0, self.place.tapped(f"try:{n % f.servers}"))] for n in range(d.slices)}
+        book = Book(d.slices, d.assigners, 1.0, d.single_writer)
+        book.load(rows)
+        self.engine.commit(Change(1, 0, book.take_dirty()))
+
+    def _begin(self) -> None:
+        config, out, place = self.config, self.out, self.place
+        self.sink = (out / "tap.jsonl").open("wb")
+        self.tap = Tap(self._new("tap"), place.links, config.net.model_dump(), self.day.seed, self.sink)
+        self.tap.listen()
+        self.files = [(out / f"{n}.jsonl").open("w", encoding="utf-8") for n in ("fleet", "clients")]
+        addresses = [place.tapped(f"try:{s}") for s in range(len(place.servers))]
+        self.fleet = FleetService(self._new("fleet"), config, place.servers, addresses, self.files[0])
+        self.fleet.begin(place.news)
+        self.start("store")
+        for k in range(config.deployment.assigners):
+            self.start(f"assigner:{k}")
+        for p in range(config.deployment.proxies):
+            self.start(f"proxy:{p}")
+        fronts = [at(port) for port in place.fronts]
+        self.clients = Clients(self._new("clients"), config, fronts, self.files[1])
+
+    def _new(self, name: str) -> Party:
+        self.lives[name] = self.lives.get(name, 0) + 1
+        self.log.setdefault(name, Log())
+        self.party[name] = Party(self.net)
+        return self.party[name]
+
+    def start(self, name: str) -> None:
+        party, kind, number = self._new(name), name.split(":")[0], int(name.partition(":")[2] or -1)
+        d, zones = self.config.deployment, len(self.config.deployment.zones)
+        store, news = self.place.tapped("store"), self.place.tapped("list")
+        log, life = self.log[name], self.lives[name]
+        if kind == "store":
+            image: Image = msgspec.convert(msgspec.to_builtins(self.engine.image), Image)
+            book = Book(d.slices, d.assigners, self.config.charge.takeover_s, d.single_writer, opened=party.seconds())
+            book.restore(image)
+            self.store = StoreService(party, book, d.name, log, self.engine, image, zones)
+            party.listenTCP(self.place.store, self.store.factory())
+            self.store.start()
+        elif kind == "assigner":
+            me = AssignerProcess(id=number, zone=number % zones, listen=at(1), store=store, list=news)
+            service = AssignerService(party, replace(self.config, assigner=me), log, life)
+            party.listenTCP(self.place.assigners[number], service.factory())
+            service.start()
+            self.assigners[number] = service
+        else:
+            orders = [self.place.tapped(f"order:{k}") for k in range(d.assigners)]
+            mine = ProxyProcess(id=number, zone=number % zones, listen=at(1), assigners=orders, store=store)
+            proxy = ProxyService(party, self.config, mine, log)
+            party.listenTCP(self.place.fronts[number], proxy.front())
+            proxy.start()
+            self.proxies[number] = proxy
+
+    def process(self, what: str, name: str) -> None:
+        """kill, start, stop or wake, as the runner of days does to processes."""
+        number = int(name.partition(":")[2] or -1)
+        if name.startswith("assigner") and what != "start":
+            self.notes.append({"t": self.net.seconds(), "what": what, "assigner": number})
+        match what:
+            case "kill":
+                self.party[name].kill()
+            case "start":
+                self.start(name)
+            case "stop":
+                self.party[name].stopped = True
+            case "wake":
+                self.party[name].wake()
+
+    def bend(self, name: str, **how: Any) -> None:
+        """A fault of the ways, or its end."""
+        words = tuple(w.encode() for w in how.pop("words", ()))
+        ids = frozenset(how.pop("proxies", ()))
+        kinds = tuple(how.pop("kinds", ()))
+        self.tap.bend(name, Bend(kinds=kinds, words=words, proxies=ids, **how) if kinds else None)
+
+    def _do(self, step: Step) -> None:
+        if step.party == "fleet":
+            self.fleet.control(step.what, step.args)
+        elif step.party == "process":
+            for name in step.args["who"]:
+                self.process(step.what, name)
+        else:
+            self.bend(**({k: v for k, v in step.args.items() if step.what == "bend" or k == "name"}))
+
+    # The day --------------------------------------------------------------------------------------
+
+    def play(self, more_s: float = 6.0) -> Verdict:
+        """All of the day, and a while for what is under way to end; judged by the audit."""
+        begun = START + self.day.settle_s
+        self.net.until(begun)
+        self.clients.start()
+        for step in plan(self.config, self.day.seed):
+            self.net.callLater(step.at, self._do, step)
+        for when, call in self.steps:
+            self.net.callLater(when, call, self)
+        self.net.until(begun + self.day.length_s + more_s)
+        self.tap.close()
+        for file in [self.sink, *self.files]:
+            file.close()
+        rows = "".join(json.dumps(row) + "\n" for row in self.notes)
+        (self.out / "day.jsonl").write_text(rows, encoding="utf-8")
+        return judge(self.out)
+
+    def astray(self) -> list[str]:
+        """Slices whose table differs between the module in charge, the store and a proxy."""
+        found = []
+        for number, record in sorted(self.store.book.slices.items()):
+            kept = {s: h.weight for s, h in record.lines.items()}
+            decider: Any = self.assigners[record.assigner].runtime.decider
+            module = getattr(decider, "director", decider).slices[number].lines
+            if module != kept:
+                found.append(f"slice {number}: module {module}, store {kept}")
+            for p, proxy in sorted(self.proxies.items()):
+                held = proxy.engine.tables.tables[number].lines
+                if held != kept:
+                    found.append(f"slice {number}: proxy {p} {held}, store {kept}")
+        return found
