A zone's bound ends for a server that was gone when it was lifted

Seen: a server bounded by a hold or a drain by hand that went from the list and came back after the return was planned with its old bound for ever. From reading, then by test. Ruled out: the plan itself, which gives the server 1.0 on its return. At fault: zones/director.py, which compared each map of bounds with the last map alone, where a gone server has no entry and counted as told 1.0; and Director.bounds, which nobody ever cleared. Change: what leaves the map is told as 1, and the module forgets a bound of 1. Before: its slices not home 60 s after it was back (test, both ways); after: home.

--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -195,7 +195,9 @@
                 for server in self.servers.values() if event.count <= 1 else ():
                     server.foreign = None
             case api.ServerBound():
-                self.bounds[event.server] = event.share
+                self.bounds.pop(event.server, None)
+                if event.share < 1:
+                    self.bounds[event.server] = event.share
 
     def see_list(self, event: api.ServerList) -> None:
         if event.kind == "failed":
--- a/puffintide/zones/director.py
+++ b/puffintide/zones/director.py
@@ -21,7 +21,10 @@
         for event in events:
             self.plan.observe(now, event)
         bounds = self.plan.decide(now, self._view())
-        changed = [api.ServerBound(s, b) for s, b in sorted(bounds.items()) if self._told.get(s, 1.0) != b]
+        # A server that went has no bound any more, and must not be met with its old one when it is back.
+        lifted = dict.fromkeys(self._told.keys() - bounds.keys(), 1.0)
+        now_told = sorted((lifted | bounds).items())
+        changed = [api.ServerBound(s, b) for s, b in now_told if self._told.get(s, 1.0) != b]
         self._told = bounds
         # Lists first, as a bound concerns a server that is known.
         lists = [e for e in events if isinstance(e, api.ServerList)]
--- /dev/null
+++ b/tests/test_after_trouble.py
@@ -0,0 +1,60 @@
+"""What is left when a trouble has ended: bounds, withdrawals, levels, tables and memory of what is gone."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from puffintide import interface as api
+from puffintide.proxy.tables import Tables
+from puffintide.wire import messages as m
+from tests.test_zones import Zoned, eight
+from tests.world import server
+
+
+def tables(slices: int = 2) -> Tables:
+    return Tables(slices, 0, "rotate", lambda: 0.5)
+
+
+def line(table: int, sid: int, weight: float, token: int) -> m.Line:
+    return m.Line(table, sid, weight, token, f"127.0.0.1:{5000 + sid}")
+
+
+def order(batch: int, *lines: m.Line, **more: Any) -> m.Order:
+    return m.Order(batch, 0.0, 13.0, list(lines), **more)
+
+
+@pytest.mark.parametrize("what", ["hold", "drain"])
+def test_a_bound_ends_though_its_server_was_gone_when_it_was_lifted(what: str) -> None:
+    world = eight(Zoned)
+    world.tell(api.ZoneHand(0, what, 1.0))
+    world.run(6)  # of a drain's 12 s
+    world.tell(api.ServerList("delta", 2, (server(2, api.GONE),)))
+    world.run(2)
+    world.tell(api.ZoneHand(0, "return", 1.0))
+    world.run(60)
+    world.tell(api.ServerList("delta", 3, (server(2),)))
+    world.run(60)
+    assert 2 in world.main(1)  # the first slice whose default it is
+    seen = world.director.director
+    assert seen.bounds.get(2, 1.0) == 1.0 and seen.capacity(2) > 20
+
+
+def test_a_proxy_that_joins_knows_no_withdrawals_or_levels_of_before() -> None:
+    """What was let in again, or taken back, while its stream was down would be shut out for ever."""
+    held = tables()
+    held.order(0, order(1, line(0, 5, 1.0, 1), out=[5], levels=[m.Level(api.ALL_TABLES, 0, 0.2, 0)]))
+    held.order(1, order(1, line(1, 5, 1.0, 1), out=[5]))
+    assert held.open(0) == {} and held.level(0, 0) == 0.2
+    held.joined(0)
+    assert held.open(0) == {5: 1.0} and held.level(0, 0) == 1.0
+    assert held.open(1) == {}  # another assigner's
+
+
+def test_an_order_that_overtakes_the_charge_it_goes_by_is_laid_on_the_tables_of_that_charge() -> None:
+    held = tables()
+    held.charge(m.Charge(0, 1, 0, [m.Held(1, 1.0, "127.0.0.1:1")], 0, 1))  # all that it heard of the old tenure
+    held.order(1, order(7, line(0, 4, 1.0, 2), line(0, 3, 0.0, 2)))  # goes by a table that held 2 and 3
+    held.charge(m.Charge(0, 2, 1, [m.Held(2, 1.0, "127.0.0.1:2"), m.Held(3, 1.0, "127.0.0.1:3")], 0, 2))
+    assert held.open(0) == {2: 1.0, 4: 1.0}
