A proxy forgets withdrawals and levels of an assigner when its stream stands anew

Seen: servers withdrawn in a wave and let in again while a proxy was cut off, or forgotten by an assigner that was restarted, stayed shut out at that proxy for ever. A share let in stayed low in the same way. Ruled out: the module, which takes a proxy that joins for one that knows no withdrawals, and says so; the store, which keeps tables alone. At fault: proxy/tables.py had no word for a new stream, and proxy/service.py told it none.

--- a/puffintide/proxy/service.py
+++ b/puffintide/proxy/service.py
@@ -150,6 +150,7 @@
             match message:
                 case m.Welcome():
                     self.assigners[number] = stream
+                    self.engine.tables.joined(number)
                     self._read_store()
                 case m.Order():
                     self._do(self.engine.order(self.now(), number, message))
--- a/puffintide/proxy/tables.py
+++ b/puffintide/proxy/tables.py
@@ -93,6 +93,15 @@
         if zone >= 0:
             self.zones[server] = zone
 
+    def joined(self, assigner: int) -> None:
+        """A stream to it stands anew: it takes us for one that knows no withdrawals and tells what still holds.
+        Guards against what it let in again, or forgot by a restart, while our stream was down."""
+        self.withdrawn.pop(assigner, None)
+        self.levels = {key: by_class for key, by_class in self.levels.items() if key[0] != assigner}
+        for table in self.tables.values():
+            table.stale = table.stale or table.assigner == assigner
+        self.version += 1
+
     def order(self, assigner: int, order: Order) -> None:
         for number in order.clear:
             table = self.tables.get(number)
