An order that overtakes the charge it goes by is laid on that charge's tables

Seen (test): a proxy that had missed orders of a slice's former assigner, and got the new one's first order before the store's word of the change, laid its lines on the table it held and then passed over the charge as older than the order. It kept a server that the new assigner knew nothing of, and would never take off. Ruled out: a reading of the store, which mends it only when the proxy joins somewhere anew. At fault: proxy/tables.py, charge(): batches are compared though the order went by tables that were not there. Change: lines ordered under an unheard token are kept aside until its charge comes, and laid on that; in an unbroken tenure the proxy's own lines stand, as the store may be behind. One table of two servers wrong before, right after.

--- a/puffintide/proxy/tables.py
+++ b/puffintide/proxy/tables.py
@@ -34,6 +34,7 @@
     token: int = 0
     batch: int = 0  # of the last order in this tenure
     since: int = -1  # the tenure's first token; -1 not known
+    ahead: dict[int, float] | None = None  # ordered under a token whose charge has not come yet
     lines: dict[int, float] = field(default_factory=dict)
     pickers: dict[bool, Picker] = field(default_factory=dict)  # by whether only the own zone serves
     stale: bool = True  # the pickers' weights are to be set anew
@@ -73,14 +74,23 @@
         # Written before our last order: the store was away, or the write is on its way. The lines here are newer.
         same = charge.token == table.token or 0 < charge.since == table.since
         if same and charge.batch < table.batch:
+            goes_on = 0 < charge.since == table.since
             table.assigner, table.token, table.since = charge.assigner, charge.token, charge.since
             self.token_most = max(self.token_most, charge.token)
+            if table.ahead is not None and not goes_on:  # the order went by these lines, not by former ones
+                lines = {h.server: h.weight for h in charge.lines} | table.ahead
+                table.lines = {s: w for s, w in lines.items() if w > 0}
+                table.stale = True
+                self.version += 1
+                for held in charge.lines:
+                    self._place(held.server, held.address, held.zone)
+            table.ahead = None
             return
         self.token_most = max(self.token_most, charge.token)
         if charge.token != table.token:
             self.levels.pop((table.assigner, charge.slice), None)
         table.assigner, table.token, table.batch = charge.assigner, charge.token, charge.batch
-        table.since = charge.since
+        table.since, table.ahead = charge.since, None
         table.lines = {h.server: h.weight for h in charge.lines if h.weight > 0}
         table.stale = True
         for held in charge.lines:
@@ -118,11 +128,14 @@
             self.token_most = max(self.token_most, line.token)
             if line.token > table.token:
                 table.since = table.since if table.assigner == assigner else -1
-                table.assigner, table.token = assigner, line.token
+                table.assigner, table.token, table.ahead = assigner, line.token, {}
             table.batch = order.batch
             self._place(line.server, line.address, line.zone)
+            if table.ahead is not None:
+                table.ahead[line.server] = line.weight
             if self.single_writer and line.weight > 0:
                 table.lines.clear()
+                table.ahead = None  # one line is all of the table
             if line.weight > 0:
                 table.lines[line.server] = line.weight
             else:
--- a/tests/test_after_trouble.py
+++ b/tests/test_after_trouble.py
@@ -58,3 +58,12 @@
     held.order(1, order(7, line(0, 4, 1.0, 2), line(0, 3, 0.0, 2)))  # goes by a table that held 2 and 3
     held.charge(m.Charge(0, 2, 1, [m.Held(2, 1.0, "127.0.0.1:2"), m.Held(3, 1.0, "127.0.0.1:3")], 0, 2))
     assert held.open(0) == {2: 1.0, 4: 1.0}
+
+
+def test_in_an_unbroken_tenure_a_charge_that_is_behind_undoes_no_order() -> None:
+    held = tables()
+    held.charge(m.Charge(0, 1, 0, [m.Held(1, 1.0, "127.0.0.1:1")], 0, 1))
+    held.order(0, order(5, line(0, 2, 1.0, 1), line(0, 1, 0.0, 1)))  # the store is away and has not kept it
+    held.order(0, order(6, line(0, 3, 1.0, 2)))  # back, with a new token that the proxy has not heard of
+    held.charge(m.Charge(0, 2, 0, [m.Held(1, 1.0, "127.0.0.1:1")], 0, 1))
+    assert held.open(0) == {2: 1.0, 3: 1.0}
