Lines of a tenure that ended are not written again under a new token

Seen (case 'assigner paused', virtual clock): an assigner stopped for 7 s ordered a round by what it knew when it woke; its slices had been another's and came back with a new token, and the lines of that round were written on top of the new table. The store then had a server that the module did not know of and would not have taken off when it drained. Ruled out: the token fence of the store, which did its work: the assigner itself put the new token on the old lines. At fault: assigner/service.py, _from_store: every slice given counted as one whose unkept lines stand, and so for moves under way of slices with one writer. Change: Runtime.charge tells whether the tenure is unbroken; else what is unkept is void, as where a slice is taken.

--- a/puffintide/assigner/runtime.py
+++ b/puffintide/assigner/runtime.py
@@ -105,18 +105,18 @@
             self._started[key] = now - entry.age_s
         return self._started[key]
 
-    def charge(self, now: float, charge: Charge) -> None:
-        """A slice is given, with its table. In an unbroken tenure it has been ours all the time, whatever the store
-        missed: the module goes on with the table it knows."""
-        goes_on = (
-            charge.slice in self.tokens and charge.since and self.tenures.get(charge.slice) == charge.since
-        )
+    def charge(self, now: float, charge: Charge) -> bool:
+        """A slice is given, with its table. In an unbroken tenure (True) it has been ours all the time, whatever the
+        store missed: the module goes on with the table it knows."""
+        held = charge.slice in self.tokens
+        goes_on = held and charge.since and self.tenures.get(charge.slice) == charge.since
         self.tokens[charge.slice], self.tenures[charge.slice] = charge.token, charge.since
         if goes_on:
-            return
+            return True
         self.addresses.update({h.server: h.address for h in charge.lines if h.address})
         stored = [api.StoredLine(charge.slice, h.server, h.weight) for h in charge.lines]
         self.hear(now, api.SliceCharge(charge.slice, True), *stored)
+        return False
 
     def taken(self, now: float, number: int) -> None:
         if self.tokens.pop(number, None) is not None:
--- a/puffintide/assigner/service.py
+++ b/puffintide/assigner/service.py
@@ -194,11 +194,13 @@
                 self.store = stream
                 self.log.info("store_reached")
             case m.Charges():
-                given = {c.slice for c in message.charges if c.assigner == self.me.id}
-                for charge in message.charges:
-                    if charge.slice in given:
-                        self.runtime.charge(now, charge)
-                self._write_again(given)
+                ours = [c for c in message.charges if c.assigner == self.me.id]
+                goes_on = {c.slice for c in ours if self.runtime.charge(now, c)}
+                # What was ordered in a tenure that ended is void: another has had the slice since.
+                for charge in ours:
+                    if charge.slice not in goes_on:
+                        self._void(charge.slice)
+                self._write_again(goes_on)
             case m.Members():
                 self.log.info("members", assigners=message.assigners)
                 if self.me.id in message.assigners:
@@ -210,9 +212,7 @@
                         self.runtime.hear(now, api.ZoneHand(hand.zone, hand.what, hand.pace))
                         self.log.warning("hand", zone=hand.zone, what=hand.what, by=hand.by)
             case m.Taken():
-                self.unkept = {k: row for k, row in self.unkept.items() if k[0] != message.slice}
-                if self.handover is not None:
-                    self.handover.refused(message.slice)
+                self._void(message.slice)
                 self.runtime.taken(now, message.slice)
                 self.reports.forget_slice(message.slice)
                 self.log.info("slice_taken", slice=message.slice)
@@ -226,6 +226,11 @@
                 self.log.warning("write_refused", slice=message.slice, reason=message.reason)
         self._schedule()
 
+    def _void(self, number: int) -> None:
+        self.unkept = {k: row for k, row in self.unkept.items() if k[0] != number}
+        if self.handover is not None:
+            self.handover.refused(number)
+
     def _write_again(self, slices: set[int]) -> None:
         """What the store had not kept when it went away, under the tokens that hold now."""
         if self.handover is not None:
