A refusal is told only where no try of the request may have run

Seen (test): a keyed or repeatable request whose first try was not answered in time and whose second was turned away as full ended with status 2 and 'come back in 0.5 s', over HTTP 503 with retry-after. Ruled out: once requests, which get no further try after one that may have run. At fault: proxy/engine.py, _finish: the last try's status alone was told. Change: the status of the first try that may have run is told then (time-out, reset or error), without 'come back'. Before: status 2, again_s 0.5; after: status 3, again_s 0.

--- a/puffintide/proxy/engine.py
+++ b/puffintide/proxy/engine.py
@@ -103,6 +103,7 @@
     sent_at: float | None = None
     ran_at: float | None = None
     ran_zone: int = -1
+    ran_status: int = TIMEOUT  # what the client is told of it, where no later try is answered
     only_zone: int = -1
     tried: frozenset[int] = frozenset()
     held: bool = False
@@ -328,6 +329,7 @@
         if not proved and request.ran_at is None:
             request.ran_at = request.sent_at if request.sent_at is not None else now
             request.ran_zone = self.tables.zones.get(request.server, -1)
+            request.ran_status = status
         if self.limits.shun_after:
             row = self._failed[request.server] = self._failed.get(request.server, 0) + 1
             if row >= self.limits.shun_after:
@@ -349,6 +351,8 @@
 
     def _finish(self, now: float, key: int, status: int) -> list[Effect]:
         request = self.requests.pop(key)
+        if request.ran_at is not None and status in (FULL, UNREACHABLE):
+            status = request.ran_status  # a refusal says that nothing ran, whatever a later try met
         self._by_ref.pop(request.ref, None)
         self.held.pop(key, None)
         found = self.servers.get(request.server)
--- a/tests/test_after_trouble.py
+++ b/tests/test_after_trouble.py
@@ -7,7 +7,9 @@
 import pytest
 
 from puffintide import interface as api
+from puffintide.proxy.engine import Engine, Finish, Limits, Send
 from puffintide.proxy.tables import Tables
+from puffintide.proxy.tries import Kind
 from puffintide.wire import messages as m
 from tests.test_zones import Zoned, eight
 from tests.world import server
@@ -67,3 +69,26 @@
     held.order(0, order(6, line(0, 3, 1.0, 2)))  # back, with a new token that the proxy has not heard of
     held.charge(m.Charge(0, 2, 0, [m.Held(1, 1.0, "127.0.0.1:1")], 0, 1))
     assert held.open(0) == {2: 1.0, 3: 1.0}
+
+
+@pytest.mark.parametrize("kind", [0, 1])
+def test_no_answer_says_come_back_where_a_try_may_have_run(kind: int) -> None:
+    """The first try is not answered in time, the second is turned away. A refusal would be taken for a proof."""
+    limits = Limits(
+        slices=1, kinds=(Kind("repeatable", "all", 0, 0.5), Kind("by_key", "all", 3.0, 0.5)), own_zone=(False, False),
+        retry_default=2, retry_wait_aims=1.0, shun_after=0, shun_s=5.0, admit="silent", pick="rotate", hold_s=0.2,
+        again_s=0.5, zone=0,
+    )  # fmt: skip
+    engine = Engine(limits, lambda: 0.5)
+    engine.order(0.0, 0, order(1, line(0, 1, 1.0, 1), line(0, 2, 1.0, 1)))
+    engine.asked(1.0, "r", 1, 0, kind, 4.0)
+    for sid in (1, 2):
+        engine.server_up(1.0, sid)
+    first = next(s for s in (1, 2) if engine.servers.get(s) and engine.servers[s].out)
+    other = 3 - first
+    engine.due(1.6)
+    second = engine.server_up(1.6, other)
+    assert isinstance(second[0], Send)
+    (end,) = engine.answered(1.7, other, second[0].key, m.FULL, [])
+    assert isinstance(end, Finish) and end.ran
+    assert end.status == m.TIMEOUT and end.again_s == 0
