Input that can't be is refused with a reason; the last good state stays

Ruled out: the codec, which refuses what has not the shape; numbers that are none don't pass it. At fault: nothing looked at values between codec and deciders (assigner/service.py, runtime.py, proxy/service.py, store/book.py). Change: wire/checks.py, pure; entries are passed over one by one with what was last told of the server standing, sums, orders, charges and news of unknown kind end their stream, the store refuses the line.

--- a/puffintide/assigner/runtime.py
+++ b/puffintide/assigner/runtime.py
@@ -14,6 +14,7 @@
 
 from puffintide import interface as api
 from puffintide.policy import Director
+from puffintide.wire.checks import sound_entries
 from puffintide.wire.messages import Charge, Entry, Level, Line, News, Order
 
 EARLY_MOST = 1_000_000  # events kept before the first list
@@ -62,6 +63,7 @@
         self.proxies: dict[int, int] = {}  # zone by proxy
         self.addresses: dict[int, str] = {}
         self.zones: dict[int, int] = {}
+        self.entries: dict[int, Entry] = {}  # as listed now, each the last good one
         self.tokens: dict[int, int] = {}  # slices in charge
         self.tenures: dict[int, int] = {}  # first token of the unbroken tenure of each
         self.withdrawn: set[int] = set()
@@ -84,18 +86,31 @@
             self._heard_at = now
         self._events.extend(events)
 
-    def news(self, now: float, news: News) -> None:
-        """A list from outside. Ages become times on our own clock once for each life of a server."""
+    def news(self, now: float, news: News) -> list[str]:
+        """A list from outside. Ages become times on our own clock once for each life of a server. Entries that can't
+        be are passed over, with the reasons given back: what was last told of such a server stands."""
+        good, reasons = self._good(news)
         servers = []
-        for e in news.servers:
+        for e in good:
             self.addresses[e.id] = e.address or self.addresses.get(e.id, "")
             self.zones[e.id] = e.zone
             servers.append(api.Server(e.id, e.zone, e.kind, e.cell, e.state, e.weight, self._start(now, e)))
         if not self.listed and news.kind != "failed":
             self.listed = True
             self._events.insert(0, api.ServerList(news.kind, news.version, tuple(servers)))
-            return
-        self.hear(now, api.ServerList(news.kind, news.version, tuple(servers)))
+        else:
+            self.hear(now, api.ServerList(news.kind, news.version, tuple(servers)))
+        return reasons
+
+    def _good(self, news: News) -> tuple[list[Entry], list[str]]:
+        if news.kind == "failed":
+            return [], []
+        good, bad = sound_entries(news.servers, self.settings.zones)
+        if news.kind == "delta":
+            self.entries |= good
+        else:  # a server whose entry can't be is not one that is missing
+            self.entries = good = {k: e for k, e in self.entries.items() if k in bad} | good
+        return list(good.values()), [bad[k] for k in sorted(bad)]
 
     def _start(self, now: float, entry: Entry) -> float:
         if entry.age_s < 0:
@@ -113,7 +128,7 @@
         self.tokens[charge.slice], self.tenures[charge.slice] = charge.token, charge.since
         if goes_on:
             return True
-        self.addresses.update({h.server: h.address for h in charge.lines if h.address})
+        self.addresses |= {h.server: h.address for h in charge.lines if h.address}
         stored = [api.StoredLine(charge.slice, h.server, h.weight) for h in charge.lines]
         self.hear(now, api.SliceCharge(charge.slice, True), *stored)
         return False
--- a/puffintide/assigner/service.py
+++ b/puffintide/assigner/service.py
@@ -20,6 +20,7 @@
 from puffintide.policy import Director
 from puffintide.tls.context import Contexts
 from puffintide.wire import messages as m
+from puffintide.wire.checks import NEWS_KINDS, wrong_lines, wrong_sums
 from puffintide.wire.messages import AnyMessage
 from puffintide.wire.session import Greeting
 from puffintide.wire.stream import Acceptor, Dialler, Handler, Stream
@@ -27,6 +28,7 @@
 from puffintide.zones.plan import ZoneLimits
 
 STATS_S = 5.0
+REASONS_MOST = 5  # logged of one list
 HANDOVER_S = 0.02  # how often a move under way is looked at
 
 
@@ -132,7 +134,10 @@
                 stream.send(self._zones(now))
             case m.Sums() if stream.tag and stream.tag[0] == "proxy":
                 zone = self.runtime.proxies.get(stream.tag[1])
-                if zone is not None:
+                wrong = wrong_sums(message, self.settings.slices, len(self.settings.classes))
+                if wrong is not None:
+                    stream.refuse(f"sums: {wrong}")
+                elif zone is not None:
                     self.reports.add(now, stream.tag[1], zone, message)
             case m.Applied(mark) if stream.tag and stream.tag[0] == "proxy" and mark >= FIRST_MARK:
                 if self.handover is not None:
@@ -194,6 +199,10 @@
                 self.store = stream
                 self.log.info("store_reached")
             case m.Charges():
+                wrong = next((w for c in message.charges if (w := wrong_lines(c.lines)) is not None), None)
+                if wrong is not None:
+                    stream.refuse(f"charges: {wrong}")
+                    return
                 ours = [c for c in message.charges if c.assigner == self.me.id]
                 goes_on = {c.slice for c in ours if self.runtime.charge(now, c)}
                 # What was ordered in a tenure that ended is void: another has had the slice since.
@@ -261,8 +270,11 @@
                     stream.send(m.Watch(True, self.list_version))
                 elif not self.runtime.listed:  # a first list, as the module is promised one at its start
                     stream.send(m.Fetch())
+            case m.News() if message.kind not in NEWS_KINDS:
+                stream.refuse(f"news of kind {message.kind[:20]!r}; there are {', '.join(NEWS_KINDS)}")
             case m.News():
-                self.runtime.news(self.now(), message)
+                for reason in self.runtime.news(self.now(), message)[:REASONS_MOST]:
+                    self.log.warning("entry_refused", reason=reason)
                 if message.kind != "failed":
                     self.list_version = message.version
                     self._save_list(message)
--- a/puffintide/audit/records.py
+++ b/puffintide/audit/records.py
@@ -42,7 +42,7 @@
     for at, line in enumerate(lines, 1):
         try:
             row: Any = json.loads(line)
-        except ValueError:
+        except (ValueError, RecursionError):
             capture.gaps.append(f"{name}:{at}: not a whole record")
             continue
         if "end" in row:
--- a/puffintide/audit/rules.py
+++ b/puffintide/audit/rules.py
@@ -15,6 +15,7 @@
 from puffintide.config.loader import Config
 from puffintide.proxy.tables import Tables
 from puffintide.wire import messages as m
+from puffintide.wire.checks import NEWS_KINDS, sound_entries
 
 RULES = ("nobody left", "no effect twice", "drains kept", "cold not pushed over", "short queue", "one owner")
 SLACK = 1.1  # for chance in the cold rule's budget
@@ -230,10 +231,11 @@
         listed: dict[int, set[int]],
         began: dict[tuple[int, int, int], float],
     ) -> None:
-        if news.kind == "failed":
+        if news.kind not in NEWS_KINDS or news.kind == "failed":
             return
         told = self.told[assigner]
-        for e in news.servers:
+        good, bad = sound_entries(news.servers, len(self.config.deployment.zones))
+        for e in good.values():
             self.zones[e.id] = e.zone
             key = (assigner, e.id, e.start)
             if key not in began:
@@ -243,9 +245,9 @@
             told[e.id].states.append((at, e.state, began[key]))
             listed[assigner].add(e.id)
         if news.kind in ("full", "cached"):
-            for sid in listed[assigner] - {e.id for e in news.servers}:
+            for sid in listed[assigner] - good.keys() - bad.keys():
                 told[sid].states.append((at, 0, 0.0))
-            listed[assigner] = {e.id for e in news.servers}
+            listed[assigner] = {*good, *(listed[assigner] & bad.keys())}
 
     def _warm_spans(self, assigner: int) -> list[Span]:
         """While the assigner's list shows some server ready and no longer cold."""
--- a/puffintide/days/tap.py
+++ b/puffintide/days/tap.py
@@ -142,7 +142,7 @@
             hello = json.loads(line)
             conn.role, conn.who = str(hello.get("role", "?")), int(hello.get("id", -1))
             conn.zone = int(hello.get("zone", 0))
-        except (ValueError, AttributeError, TypeError):
+        except (ValueError, AttributeError, TypeError, RecursionError):
             return  # whoever is dialled will refuse it
 
     def _way(self, conn: Conn, direction: int, line: bytes) -> float:
--- a/puffintide/proxy/service.py
+++ b/puffintide/proxy/service.py
@@ -17,12 +17,14 @@
 from puffintide.proxy.tries import Kind
 from puffintide.tls.context import Contexts
 from puffintide.wire import messages as m
+from puffintide.wire.checks import wrong_lines, wrong_order
 from puffintide.wire.messages import AnyMessage
 from puffintide.wire.session import Greeting
 from puffintide.wire.stream import Acceptor, Dialler, Stream
 
 SAVE_S = 1.0
 STATS_S = 10.0
+LEFT_MOST_S = 1e4  # that a client may wait; over HTTP too
 WRITES_S = 0.02  # how often writes in hand are looked at
 
 
@@ -152,6 +154,8 @@
                     self.assigners[number] = stream
                     self.engine.tables.joined(number)
                     self._read_store()
+                case m.Order() if (wrong := wrong_order(message)) is not None:
+                    stream.refuse(f"order: {wrong}")
                 case m.Order():
                     self._do(self.engine.order(self.now(), number, message))
                     if self.http is not None:
@@ -201,6 +205,10 @@
                 self.store = stream
                 self._read_store()
             case m.Charges():
+                wrong = next((w for c in message.charges if (w := wrong_lines(c.lines)) is not None), None)
+                if wrong is not None:
+                    stream.refuse(f"charges: {wrong}")
+                    return
                 self._do(self.engine.charges(self.now(), message.charges))
                 if self.http is not None:
                     self.http.do(self.http.engine.look_again(self.now()))
@@ -246,8 +254,8 @@
                 self.fronts[id(stream)] = stream
             case m.Ask() if not 0 <= message.request_class < self.classes:
                 stream.refuse(f"class {message.request_class} is not among the {self.classes}")
-            case m.Ask() if not 0 <= message.key < 2**64 or not message.left_s > 0:
-                stream.refuse("a key must be from 0 to 2^64 - 1, the time left above 0")
+            case m.Ask() if not (0 <= message.key < 2**64 and 0 < message.left_s <= LEFT_MOST_S):
+                stream.refuse(f"a key must be from 0 to 2^64 - 1, the time left above 0, up to {LEFT_MOST_S:g} s")
             case m.Ask():
                 self.ask(stream, message)
             case _:
--- a/puffintide/store/book.py
+++ b/puffintide/store/book.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 
 from puffintide.store.engine import Image, SliceState
+from puffintide.wire.checks import wrong_lines
 from puffintide.wire.messages import Charge, Held, Line
 
 BURST_S = 0.25  # of the pace that may be saved up
@@ -186,6 +187,8 @@
                 refused[line.table] = f"in charge of assigner {record.assigner}"
             elif line.token != record.token:
                 refused[line.table] = f"token {line.token} is not the present {record.token}"
+            elif (wrong := wrong_lines([line])) is not None:
+                refused[line.table] = wrong
             elif line.weight > 0 and line.server not in record.lines and len(record.lines) >= self.lines_most:
                 refused[line.table] = f"a table holds {self.lines_most} lines at most"
             else:
