What is gone is forgotten, in the module, the plan, the services and the proxy

Seen (test): after 4,000 machines that were replaced one after the other, each with an id of its own, the module and the zone plan knew all 4,000, and so did the maps of addresses, zones and starts; a proxy's count of failures had 1,999 of 1,999 servers. Ruled out: marks, publishes, probes and reports in hand, which were bounded. At fault: no owner of such a map took anything out of it. After: all below 150 in the same test.

--- a/puffintide/assigner/reports.py
+++ b/puffintide/assigner/reports.py
@@ -21,6 +21,7 @@
     values: tuple[float, ...] = ()
 
 
+TOLD_S = 60.0  # counting goes back four spans at most; what was told longer ago tells nothing
 Key = tuple[int, int, int]  # (kind: 0 servers, 1 slices, 2 proxies; zone, slice or proxy; server or class)
 
 
@@ -60,6 +61,7 @@
         """Report events that fit, oldest first."""
         span = now - self._last if self._last is not None else 0.5
         self._last = now
+        self._told = {key: at for key, at in self._told.items() if now - at < TOLD_S}
         self._credit = min(self._credit + span * self.lines_per_s, self.lines_per_s)
         events: list[api.Event] = []
         while self._pairs and self._credit >= 1:
--- a/puffintide/assigner/runtime.py
+++ b/puffintide/assigner/runtime.py
@@ -17,6 +17,7 @@
 from puffintide.wire.checks import sound_entries
 from puffintide.wire.messages import Charge, Entry, Level, Line, News, Order
 
+FEW = 64  # servers no longer listed that may be remembered, beside as many as are
 EARLY_MOST = 1_000_000  # events kept before the first list
 
 
@@ -70,7 +71,7 @@
         self.levels: list[Level] = []  # for every table: they go along with later messages to new proxies
         self._tables: dict[int, dict[int, float]] = {}  # without slices: by number
         self._bound: dict[int, _Bound] = {}
-        self._started: dict[tuple[int, int], float] = {}
+        self._started: dict[int, tuple[int, float]] = {}  # by server: its life, when that began
         self._events: list[api.Event] = []
         self._heard_at = 0.0
         self.listed = (
@@ -95,6 +96,10 @@
             self.addresses[e.id] = e.address or self.addresses.get(e.id, "")
             self.zones[e.id] = e.zone
             servers.append(api.Server(e.id, e.zone, e.kind, e.cell, e.state, e.weight, self._start(now, e)))
+        for known in (self.addresses, self.zones, self._started):  # each machine has an id of its own
+            if len(known) > 2 * len(self.entries) + FEW and news.kind != "failed":
+                for sid in known.keys() - self.entries.keys():
+                    del known[sid]
         if not self.listed and news.kind != "failed":
             self.listed = True
             self._events.insert(0, api.ServerList(news.kind, news.version, tuple(servers)))
@@ -110,15 +115,16 @@
             self.entries |= good
         else:  # a server whose entry can't be is not one that is missing
             self.entries = good = {k: e for k, e in self.entries.items() if k in bad} | good
+        self.entries = {k: e for k, e in self.entries.items() if e.state != api.GONE}
         return list(good.values()), [bad[k] for k in sorted(bad)]
 
     def _start(self, now: float, entry: Entry) -> float:
         if entry.age_s < 0:
             return 0.0
-        key = (entry.id, entry.start)
-        if key not in self._started:
-            self._started[key] = now - entry.age_s
-        return self._started[key]
+        life, began = self._started.get(entry.id, (-1, 0.0))
+        if life != entry.start:
+            life, began = self._started[entry.id] = entry.start, now - entry.age_s
+        return began
 
     def charge(self, now: float, charge: Charge) -> bool:
         """A slice is given, with its table. In an unbroken tenure (True) it has been ours all the time, whatever the
--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -47,6 +47,7 @@
 LOST = 0.2  # a message counts as waiting until applied, or until the channel had sent it at this speed
 USUAL = 0.5  # load of the median server, where nothing tells it
 PROBES_KEPT = 200  # latest probes that tell how full servers are
+FORGET_S = 600.0  # a server that is gone and in no table is forgotten: each machine has an id of its own
 SLOWED = 1.25  # a probe that takes this many times the server's quickest had to share or wait
 
 
@@ -216,6 +217,10 @@
                 self.urgent = True
         for view in self.servers.values():
             view.lost_since = None if view.entry.state == api.READY else view.lost_since or self.now
+        old = {s for s, v in self.servers.items() if v.entry.state == api.GONE}
+        old = {s for s in old if self.now - (self.servers[s].lost_since or self.now) > FORGET_S}
+        for sid in old.difference(*(view.lines for view in self.slices.values())):
+            del self.servers[sid]
 
     def see_load(self, event: api.LoadReport) -> None:
         view = self.servers.get(event.server)
@@ -604,7 +609,7 @@
         if lines * proxies <= min(left * self.set.channel_lines_per_s - self.waiting, ample):
             lost = []
         astray = {s for n, view in self.slices.items() for s in view.lines if s not in plan[n]}
-        back = [s for s in sorted(self.withdrawn) if self.ready(s) and s not in astray]
+        back = [s for s in sorted(self.withdrawn - astray) if self.ready(s) or s not in self.servers]
         again = sorted(self.withdrawn & held) if self.rejoined else []
         most = int(budget / proxies) if budget >= min(SPARE, len(lost)) * proxies else 0  # not one by one
         chosen = (lost + back + again)[:most]
--- a/puffintide/proxy/engine.py
+++ b/puffintide/proxy/engine.py
@@ -13,7 +13,7 @@
 
 from puffintide.proxy.admit import Gate
 from puffintide.proxy.sums import Counter
-from puffintide.proxy.tables import Tables
+from puffintide.proxy.tables import FEW, Tables
 from puffintide.proxy.tries import TRIES, Kind, Past, further, patience
 from puffintide.wire.messages import ERROR, FULL, OK, RESET, TIMEOUT, UNREACHABLE, Charge, Order, Sums
 
@@ -225,7 +225,9 @@
         request.assigner = self.tables.tables[request.slice].assigner
         server = None
         if self._may_write(now, request):
-            shunned = frozenset(s for s, until in self._shunned.items() if until > now)
+            if self._shunned:
+                self._shunned = {s: until for s, until in self._shunned.items() if until > now}
+            shunned = frozenset(self._shunned)
             own = self.limits.own_zone[request.request_class]
             server = self.tables.pick(request.slice, request.tried | shunned, own, request.only_zone)
         if server is None or not self.tables.addresses.get(server):
@@ -332,6 +334,8 @@
             request.ran_status = status
         if self.limits.shun_after:
             row = self._failed[request.server] = self._failed.get(request.server, 0) + 1
+            if len(self._failed) > 2 * len(self.tables.addresses) + FEW:
+                self._failed = {s: n for s, n in self._failed.items() if s in self.tables.addresses}
             if row >= self.limits.shun_after:
                 self._shunned[request.server] = now + self.limits.shun_s
         kind = self.limits.kinds[request.request_class]
--- a/puffintide/proxy/http.py
+++ b/puffintide/proxy/http.py
@@ -559,8 +559,9 @@
         self._open(e.server)
 
     def _open(self, server: int) -> None:
-        host, _, port = self.engine.tables.addresses[server].rpartition(":")
-        for _ in range(self.pools[server].open_now()):
+        host, _, port = self.engine.tables.addresses.get(server, "").rpartition(":")
+        pool = self.pools.get(server)
+        for _ in range(pool.open_now() if pool is not None and port else 0):  # else it left all tables
             made = _BackFactory(self, server)
             if self.tls is None:
                 self.reactor.connectTCP(host, int(port), made, self.me.connect_s)
@@ -582,13 +583,21 @@
 
     def _waited(self, server: int, key: int) -> None:
         """It waited for a connection as long as one may take to stand."""
-        if self.pools[server].drop(key):
+        if server in self.pools and self.pools[server].drop(key):
             self.count("waited_for_connection")
             self._never(server, [key])
 
     def open_failed(self, server: int) -> None:
         self._never(server, self.pools[server].failed())
         self._open(server)
+        self._idle(server)
+
+    def _idle(self, server: int) -> None:
+        """A server to which nothing stands or is wanted begins as a new one, and leaves nothing behind if gone."""
+        pool = self.pools.get(server)
+        if pool is not None and not (pool.standing or pool.opening or pool.waiting):
+            del self.pools[server]
+            self.idle.pop(server, None)
 
     def _never(self, server: int, keys: list[int]) -> None:
         for key in keys:
@@ -605,6 +614,7 @@
             exchange.back = None
             self.do(self.engine.broke(self.now(), back.server, back.key))
         self._open(back.server)
+        self._idle(back.server)
 
     def answered(self, server: int, key: int, status: int) -> None:
         self.do(self.engine.answered(self.now(), server, key, status, []))
--- a/puffintide/proxy/tables.py
+++ b/puffintide/proxy/tables.py
@@ -16,6 +16,7 @@
 from puffintide.wire.messages import Charge, Held, Level, Order
 
 FORMAT = 1
+FEW = 64
 
 
 class Saved(msgspec.Struct, frozen=True):
@@ -63,6 +64,7 @@
         self.levels: dict[tuple[int, int], dict[int, Level]] = {}  # (assigner, table): by class
         self.version = 0  # rises with each change
         self.token_most = 0  # the highest seen
+        self._room = FEW  # servers remembered before those in no table are forgotten
         self.dropped = 0  # lines whose token was old
 
     # What comes in ------------------------------------------------------------------------------
@@ -96,6 +98,15 @@
         for held in charge.lines:
             self._place(held.server, held.address, held.zone)
         self.version += 1
+        self._forget()
+
+    def _forget(self) -> None:
+        """Each machine has an id of its own: those that left the tables must not stay for ever."""
+        if len(self.addresses) > self._room or len(self.zones) > self._room:
+            used = {s for table in self.tables.values() for s in table.lines}
+            self.addresses = {s: a for s, a in self.addresses.items() if s in used}
+            self.zones = {s: z for s, z in self.zones.items() if s in used}
+            self._room = 2 * len(used) + FEW
 
     def _place(self, server: int, address: str, zone: int) -> None:
         if address:
@@ -151,6 +162,7 @@
             classes = [k for k in range(16) if not level.classes or level.classes >> k & 1]
             self.levels.setdefault((assigner, level.table), {}).update(dict.fromkeys(classes, level))
         self.version += 1
+        self._forget()
 
     # What it gives ------------------------------------------------------------------------------
 
--- a/puffintide/zones/plan.py
+++ b/puffintide/zones/plan.py
@@ -197,6 +197,12 @@
         for sid, (at, _) in sorted(self.vanished.items()):
             if now - at > FORGET_S:
                 del self.vanished[sid]
+        gone = [s for s, e in self.servers.items() if e.state == api.GONE and s not in self.vanished]
+        for sid in gone:  # each machine has an id of its own: what drained away, or is missed no longer
+            del self.servers[sid]
+            self.growth.pop(sid, None)
+            self.probes.pop(sid, None)
+            self.behind.discard(sid)
         shares = {z: self._share(z, view) for z in sorted(self.zones)}
         # All silent alike, and none gone from the list: the cause is common, and no zone is lost by it.
         silent = {z for z in shares if shares[z] < LOST_BELOW and self._of(z)}
--- a/tests/test_after_trouble.py
+++ b/tests/test_after_trouble.py
@@ -7,12 +7,17 @@
 import pytest
 
 from puffintide import interface as api
+from puffintide.assigner.reports import Gatherer
+from puffintide.assigner.runtime import Runtime
+from puffintide.days.place import at
 from puffintide.proxy.engine import Engine, Finish, Limits, Send
 from puffintide.proxy.tables import Tables
 from puffintide.proxy.tries import Kind
 from puffintide.wire import messages as m
+from puffintide.zones.director import ZonedDirector
+from puffintide.zones.plan import ZoneLimits
 from tests.test_zones import Zoned, eight
-from tests.world import server
+from tests.world import server, settings
 
 
 def tables(slices: int = 2) -> Tables:
@@ -92,3 +97,50 @@
     (end,) = engine.answered(1.7, other, second[0].key, m.FULL, [])
     assert isinstance(end, Finish) and end.ran
     assert end.status == m.TIMEOUT and end.again_s == 0
+
+
+def test_what_is_gone_is_forgotten() -> None:
+    """A machine that is replaced has a new id: a thousand of them must not stay in anybody's memory."""
+    runtime = Runtime(settings(slices=4, report_names=("rif",)), lambda s: ZonedDirector(s, ZoneLimits()))
+    decider: Any = runtime.decider
+    held, reports, now = tables(4), Gatherer(300.0, False), 1000.0
+    runtime.joined(now, 0, 0, 0.0, True)
+    for first in range(0, 4000, 4):  # four at a time, each 30 s
+        ids = range(first, first + 4)
+        runtime.news(now, m.News("full", first, [m.Entry(s, s % 2, 0, 0, 1, 2.0, 1, -1.0, at(5000 + s)) for s in ids]))
+        if first == 0:
+            for n in range(4):
+                runtime.charge(now, m.Charge(n, n + 1, 0, [m.Held(n, 1.0, at(5000 + n))], 0, n + 1))
+        for step in range(6):
+            now += 5.0
+            sums = m.Sums(0.5, [m.ServerSum(s, 9, 0, 0.5, [1.0]) for s in ids], [m.SliceSum(0, 0, 9, 0)])
+            reports.add(now, 0, 0, sums)
+            runtime.hear(now, *reports.take(now), api.ProbeResult(first + step % 4, 0, 0.01, (1.0,)))
+            runtime.hear(now, api.TimerDue(1))
+            effects = runtime.tick(now)
+            assert effects is not None
+            for _, made in effects.orders:
+                held.order(0, made)
+    assert set(held.open(0)) <= set(ids)
+    plan, module = decider.plan, decider.director
+    sizes = {
+        "module": len(module.servers), "bounds": len(module.bounds), "withdrawn": len(module.withdrawn),
+        "plan": len(plan.servers), "growth": len(plan.growth), "behind": len(plan.behind),
+        "addresses": len(runtime.addresses), "zones": len(runtime.zones), "starts": len(runtime._started),
+        "reports": len(reports._told), "proxy": len(held.addresses), "proxy's zones": len(held.zones),
+    }  # fmt: skip
+    assert all(size <= 150 for size in sizes.values()), sizes
+
+
+def test_a_proxy_forgets_failures_at_servers_that_are_gone() -> None:
+    limits = Limits(
+        slices=1, kinds=(Kind("once", "all", 0.0, 0.5),), own_zone=(False,), retry_default=0, retry_wait_aims=1.0,
+        shun_after=1, shun_s=5.0, admit="silent", pick="rotate", hold_s=0.2, again_s=0.5, zone=0,
+    )  # fmt: skip
+    engine = Engine(limits, lambda: 0.5)
+    for sid in range(1, 2000):
+        now = 100.0 * sid
+        engine.order(now, 0, order(sid, line(0, sid, 1.0, 1), line(0, sid - 1, 0.0, 1)))
+        engine.asked(now, sid, sid, 0, 0, 4.0)
+        engine.server_lost(now, sid)
+    assert len(engine._failed) < 200 and len(engine._shunned) < 200 and len(engine.servers) < 200
