A keyed request is not repeated where the zone of its first try is not known

At fault: proxy/tries.py, further(): zone -1 is 'not told', and as the place of the next try 'anywhere'. Change: no further try then. Before: Next(-1); after: none.

--- a/puffintide/proxy/tries.py
+++ b/puffintide/proxy/tries.py
@@ -59,6 +59,6 @@
     if kind.effect == "by_key" and now - past.ran_at < kind.window_s:
         if kind.group == "all":
             return Next(-1)
-        if kind.group == "zone":
+        if kind.group == "zone" and past.ran_zone >= 0:  # a zone that was never told is no zone to stay in
             return Next(past.ran_zone)
     return None  # once, outside the window, or a group that can't be told from here
--- a/tests/test_after_trouble.py
+++ b/tests/test_after_trouble.py
@@ -12,7 +12,7 @@
 from puffintide.days.place import at
 from puffintide.proxy.engine import Engine, Finish, Limits, Send
 from puffintide.proxy.tables import Tables
-from puffintide.proxy.tries import Kind
+from puffintide.proxy.tries import Kind, Next, Past, further
 from puffintide.wire import messages as m
 from puffintide.zones.director import ZonedDirector
 from puffintide.zones.plan import ZoneLimits
@@ -144,3 +144,11 @@
         engine.asked(now, sid, sid, 0, 0, 4.0)
         engine.server_lost(now, sid)
     assert len(engine._failed) < 200 and len(engine._shunned) < 200 and len(engine.servers) < 200
+
+
+def test_a_keyed_request_whose_zone_is_not_known_is_not_sent_to_another() -> None:
+    """First tables of a store tell no zones. Where a zone's servers drop repeats, anywhere is not there."""
+    kind = Kind("by_key", "zone", 3.0, 0.5)
+    assert further(kind, 2, Past(0, False, 1.0, -1), 1.5, 9.0) is None
+    assert further(kind, 2, Past(0, False, 1.0, 1), 1.5, 9.0) == Next(1)
+    assert further(kind, 2, Past(0, True, None, -1), 1.5, 9.0) == Next(-1)  # it never ran
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from tests.deployment import Deployment
+from tests.deployment import SECTIONS, Deployment
 
 ALWAYS = ("nobody left", "no effect twice", "short queue")
 DRAIN, COLD, OWNER = "drains kept", "cold not pushed over", "one owner"
@@ -119,6 +119,8 @@
                               "load": {"requests_per_s": 110, "retries": 3, "honour": 0.2}}),
     "crash with further tries": Case({"f": fault("crash", servers="2, 5")}, changes=TWICE, needs=(COLD,)),
     "hang with further tries": Case({"f": fault("hang", servers="2, 5")}, changes=TWICE),
+    "hang, repeats dropped by zone": Case({"f": fault("hang", 1, 8, servers="2, 5")}, changes=TWICE | {
+                                          "class start": SECTIONS["class start"] | {"group": "zone"}}),
     "crash with writers": Case({"f": fault("crash", servers=2)}, changes=WRITERS, needs=(OWNER,)),
     "assigner killed with writers": Case({"f": fault("balancer_crash", assigners="0"),
                                           "g": fault("deploy", 5, 5, servers="1, 2", size=1, extra=3)},
