--- a/puffintide/assigner/runtime.py
+++ b/puffintide/assigner/runtime.py
@@ -14,8 +14,10 @@
 
 from puffintide import interface as api
 from puffintide.policy import Director
+from puffintide.wire.checks import sound_entries
 from puffintide.wire.messages import Charge, Entry, Level, Line, News, Order
 
+FEW = 64  # servers no longer listed that may be remembered, beside as many as are
 EARLY_MOST = 1_000_000  # events kept before the first list
 
 
@@ -62,13 +64,14 @@
         self.proxies: dict[int, int] = {}  # zone by proxy
         self.addresses: dict[int, str] = {}
         self.zones: dict[int, int] = {}
+        self.entries: dict[int, Entry] = {}  # as listed now, each the last good one
         self.tokens: dict[int, int] = {}  # slices in charge
         self.tenures: dict[int, int] = {}  # first token of the unbroken tenure of each
         self.withdrawn: set[int] = set()
         self.levels: list[Level] = []  # for every table: they go along with later messages to new proxies
         self._tables: dict[int, dict[int, float]] = {}  # without slices: by number
         self._bound: dict[int, _Bound] = {}
-        self._started: dict[tuple[int, int], float] = {}
+        self._started: dict[int, tuple[int, float]] = {}  # by server: its life, when that began
         self._events: list[api.Event] = []
         self._heard_at = 0.0
         self.listed = (
@@ -84,39 +87,57 @@
             self._heard_at = now
         self._events.extend(events)
 
-    def news(self, now: float, news: News) -> None:
-        """A list from outside. Ages become times on our own clock once for each life of a server."""
+    def news(self, now: float, news: News) -> list[str]:
+        """A list from outside. Ages become times on our own clock once for each life of a server. Entries that can't
+        be are passed over, with the reasons given back: what was last told of such a server stands."""
+        good, reasons = self._good(news)
         servers = []
-        for e in news.servers:
+        for e in good:
             self.addresses[e.id] = e.address or self.addresses.get(e.id, "")
             self.zones[e.id] = e.zone
             servers.append(api.Server(e.id, e.zone, e.kind, e.cell, e.state, e.weight, self._start(now, e)))
+        for known in (self.addresses, self.zones, self._started):  # each machine has an id of its own
+            if len(known) > 2 * len(self.entries) + FEW and news.kind != "failed":
+                for sid in known.keys() - self.entries.keys():
+                    del known[sid]
         if not self.listed and news.kind != "failed":
             self.listed = True
             self._events.insert(0, api.ServerList(news.kind, news.version, tuple(servers)))
-            return
-        self.hear(now, api.ServerList(news.kind, news.version, tuple(servers)))
+        else:
+            self.hear(now, api.ServerList(news.kind, news.version, tuple(servers)))
+        return reasons
+
+    def _good(self, news: News) -> tuple[list[Entry], list[str]]:
+        if news.kind == "failed":
+            return [], []
+        good, bad = sound_entries(news.servers, self.settings.zones)
+        if news.kind == "delta":
+            self.entries |= good
+        else:  # a server whose entry can't be is not one that is missing
+            self.entries = good = {k: e for k, e in self.entries.items() if k in bad} | good
+        self.entries = {k: e for k, e in self.entries.items() if e.state != api.GONE}
+        return list(good.values()), [bad[k] for k in sorted(bad)]
 
     def _start(self, now: float, entry: Entry) -> float:
         if entry.age_s < 0:
             return 0.0
-        key = (entry.id, entry.start)
-        if key not in self._started:
-            self._started[key] = now - entry.age_s
-        return self._started[key]
-
-    def charge(self, now: float, charge: Charge) -> None:
-        """A slice is given, with its table. In an unbroken tenure it has been ours all the time, whatever the store
-        missed: the module goes on with the table it knows."""
-        goes_on = (
-            charge.slice in self.tokens and charge.since and self.tenures.get(charge.slice) == charge.since
-        )
+        life, began = self._started.get(entry.id, (-1, 0.0))
+        if life != entry.start:
+            life, began = self._started[entry.id] = entry.start, now - entry.age_s
+        return began
+
+    def charge(self, now: float, charge: Charge) -> bool:
+        """A slice is given, with its table. In an unbroken tenure (True) it has been ours all the time, whatever the
+        store missed: the module goes on with the table it knows."""
+        held = charge.slice in self.tokens
+        goes_on = held and charge.since and self.tenures.get(charge.slice) == charge.since
         self.tokens[charge.slice], self.tenures[charge.slice] = charge.token, charge.since
         if goes_on:
-            return
-        self.addresses.update({h.server: h.address for h in charge.lines if h.address})
+            return True
+        self.addresses |= {h.server: h.address for h in charge.lines if h.address}
         stored = [api.StoredLine(charge.slice, h.server, h.weight) for h in charge.lines]
         self.hear(now, api.SliceCharge(charge.slice, True), *stored)
+        return False
 
     def taken(self, now: float, number: int) -> None:
         if self.tokens.pop(number, None) is not None:
--- a/puffintide/assigner/service.py
+++ b/puffintide/assigner/service.py
@@ -20,6 +20,7 @@
 from puffintide.policy import Director
 from puffintide.tls.context import Contexts
 from puffintide.wire import messages as m
+from puffintide.wire.checks import NEWS_KINDS, wrong_lines, wrong_sums
 from puffintide.wire.messages import AnyMessage
 from puffintide.wire.session import Greeting
 from puffintide.wire.stream import Acceptor, Dialler, Handler, Stream
@@ -27,6 +28,7 @@
 from puffintide.zones.plan import ZoneLimits
 
 STATS_S = 5.0
+REASONS_MOST = 5  # logged of one list
 HANDOVER_S = 0.02  # how often a move under way is looked at
 
 
@@ -132,7 +134,10 @@
                 stream.send(self._zones(now))
             case m.Sums() if stream.tag and stream.tag[0] == "proxy":
                 zone = self.runtime.proxies.get(stream.tag[1])
-                if zone is not None:
+                wrong = wrong_sums(message, self.settings.slices, len(self.settings.classes))
+                if wrong is not None:
+                    stream.refuse(f"sums: {wrong}")
+                elif zone is not None:
                     self.reports.add(now, stream.tag[1], zone, message)
             case m.Applied(mark) if stream.tag and stream.tag[0] == "proxy" and mark >= FIRST_MARK:
                 if self.handover is not None:
@@ -194,11 +199,17 @@
                 self.store = stream
                 self.log.info("store_reached")
             case m.Charges():
-                given = {c.slice for c in message.charges if c.assigner == self.me.id}
-                for charge in message.charges:
-                    if charge.slice in given:
-                        self.runtime.charge(now, charge)
-                self._write_again(given)
+                wrong = next((w for c in message.charges if (w := wrong_lines(c.lines)) is not None), None)
+                if wrong is not None:
+                    stream.refuse(f"charges: {wrong}")
+                    return
+                ours = [c for c in message.charges if c.assigner == self.me.id]
+                goes_on = {c.slice for c in ours if self.runtime.charge(now, c)}
+                # What was ordered in a tenure that ended is void: another has had the slice since.
+                for charge in ours:
+                    if charge.slice not in goes_on:
+                        self._void(charge.slice)
+                self._write_again(goes_on)
             case m.Members():
                 self.log.info("members", assigners=message.assigners)
                 if self.me.id in message.assigners:
@@ -210,9 +221,7 @@
                         self.runtime.hear(now, api.ZoneHand(hand.zone, hand.what, hand.pace))
                         self.log.warning("hand", zone=hand.zone, what=hand.what, by=hand.by)
             case m.Taken():
-                self.unkept = {k: row for k, row in self.unkept.items() if k[0] != message.slice}
-                if self.handover is not None:
-                    self.handover.refused(message.slice)
+                self._void(message.slice)
                 self.runtime.taken(now, message.slice)
                 self.reports.forget_slice(message.slice)
                 self.log.info("slice_taken", slice=message.slice)
@@ -226,6 +235,11 @@
                 self.log.warning("write_refused", slice=message.slice, reason=message.reason)
         self._schedule()
 
+    def _void(self, number: int) -> None:
+        self.unkept = {k: row for k, row in self.unkept.items() if k[0] != number}
+        if self.handover is not None:
+            self.handover.refused(number)
+
     def _write_again(self, slices: set[int]) -> None:
         """What the store had not kept when it went away, under the tokens that hold now."""
         if self.handover is not None:
@@ -256,8 +270,11 @@
                     stream.send(m.Watch(True, self.list_version))
                 elif not self.runtime.listed:  # a first list, as the module is promised one at its start
                     stream.send(m.Fetch())
+            case m.News() if message.kind not in NEWS_KINDS:
+                stream.refuse(f"news of kind {message.kind[:20]!r}; there are {', '.join(NEWS_KINDS)}")
             case m.News():
-                self.runtime.news(self.now(), message)
+                for reason in self.runtime.news(self.now(), message)[:REASONS_MOST]:
+                    self.log.warning("entry_refused", reason=reason)
                 if message.kind != "failed":
                     self.list_version = message.version
                     self._save_list(message)
--- a/puffintide/audit/rules.py
+++ b/puffintide/audit/rules.py
@@ -15,6 +15,7 @@
 from puffintide.config.loader import Config
 from puffintide.proxy.tables import Tables
 from puffintide.wire import messages as m
+from puffintide.wire.checks import NEWS_KINDS, sound_entries
 
 RULES = ("nobody left", "no effect twice", "drains kept", "cold not pushed over", "short queue", "one owner")
 SLACK = 1.1  # for chance in the cold rule's budget
@@ -230,10 +231,11 @@
         listed: dict[int, set[int]],
         began: dict[tuple[int, int, int], float],
     ) -> None:
-        if news.kind == "failed":
+        if news.kind not in NEWS_KINDS or news.kind == "failed":
             return
         told = self.told[assigner]
-        for e in news.servers:
+        good, bad = sound_entries(news.servers, len(self.config.deployment.zones))
+        for e in good.values():
             self.zones[e.id] = e.zone
             key = (assigner, e.id, e.start)
             if key not in began:
@@ -243,9 +245,9 @@
             told[e.id].states.append((at, e.state, began[key]))
             listed[assigner].add(e.id)
         if news.kind in ("full", "cached"):
-            for sid in listed[assigner] - {e.id for e in news.servers}:
+            for sid in listed[assigner] - good.keys() - bad.keys():
                 told[sid].states.append((at, 0, 0.0))
-            listed[assigner] = {e.id for e in news.servers}
+            listed[assigner] = {*good, *(listed[assigner] & bad.keys())}
 
     def _warm_spans(self, assigner: int) -> list[Span]:
         """While the assigner's list shows some server ready and no longer cold."""
@@ -268,7 +270,6 @@
         replicas: dict[int, Tables] = {}
         bare: dict[tuple[int, int], tuple[float, int]] = {}
         spans: dict[tuple[int, int], list[tuple[float, float, int]]] = defaultdict(list)
-        read: set[int] = set()  # connections to the store on which the tables have been read
 
         def look(proxy: int, number: int, at: float, record: int) -> None:
             if replicas[proxy].open(number):
@@ -292,8 +293,11 @@
                 for charge in r.message.charges:
                     tables.charge(charge)
                     look(peer.id, charge.slice, r.went, r.number)
-            elif isinstance(r.message, m.ReadEnd):
-                read.add(r.conn)
+            elif isinstance(r.message, m.Welcome) and r.link.startswith("order:"):
+                assigner = self._number_of(r.link)
+                tables.joined(assigner)
+                for number in sorted(n for n, t in tables.tables.items() if t.assigner == assigner):
+                    look(peer.id, number, r.went, r.number)
             elif isinstance(r.message, m.Order):
                 assigner = self._number_of(r.link)
                 tables.order(assigner, r.message)
--- a/puffintide/proxy/engine.py
+++ b/puffintide/proxy/engine.py
@@ -13,7 +13,7 @@
 
 from puffintide.proxy.admit import Gate
 from puffintide.proxy.sums import Counter
-from puffintide.proxy.tables import Tables
+from puffintide.proxy.tables import FEW, Tables
 from puffintide.proxy.tries import TRIES, Kind, Past, further, patience
 from puffintide.wire.messages import ERROR, FULL, OK, RESET, TIMEOUT, UNREACHABLE, Charge, Order, Sums
 
@@ -103,6 +103,7 @@
     sent_at: float | None = None
     ran_at: float | None = None
     ran_zone: int = -1
+    ran_status: int = TIMEOUT  # what the client is told of it, where no later try is answered
     only_zone: int = -1
     tried: frozenset[int] = frozenset()
     held: bool = False
@@ -224,7 +225,9 @@
         request.assigner = self.tables.tables[request.slice].assigner
         server = None
         if self._may_write(now, request):
-            shunned = frozenset(s for s, until in self._shunned.items() if until > now)
+            if self._shunned:
+                self._shunned = {s: until for s, until in self._shunned.items() if until > now}
+            shunned = frozenset(self._shunned)
             own = self.limits.own_zone[request.request_class]
             server = self.tables.pick(request.slice, request.tried | shunned, own, request.only_zone)
         if server is None or not self.tables.addresses.get(server):
@@ -328,8 +331,11 @@
         if not proved and request.ran_at is None:
             request.ran_at = request.sent_at if request.sent_at is not None else now
             request.ran_zone = self.tables.zones.get(request.server, -1)
+            request.ran_status = status
         if self.limits.shun_after:
             row = self._failed[request.server] = self._failed.get(request.server, 0) + 1
+            if len(self._failed) > 2 * len(self.tables.addresses) + FEW:
+                self._failed = {s: n for s, n in self._failed.items() if s in self.tables.addresses}
             if row >= self.limits.shun_after:
                 self._shunned[request.server] = now + self.limits.shun_s
         kind = self.limits.kinds[request.request_class]
@@ -349,6 +355,8 @@
 
     def _finish(self, now: float, key: int, status: int) -> list[Effect]:
         request = self.requests.pop(key)
+        if request.ran_at is not None and status in (FULL, UNREACHABLE):
+            status = request.ran_status  # a refusal says that nothing ran, whatever a later try met
         self._by_ref.pop(request.ref, None)
         self.held.pop(key, None)
         found = self.servers.get(request.server)
--- a/puffintide/proxy/tables.py
+++ b/puffintide/proxy/tables.py
@@ -16,6 +16,7 @@
 from puffintide.wire.messages import Charge, Held, Level, Order
 
 FORMAT = 1
+FEW = 64
 
 
 class Saved(msgspec.Struct, frozen=True):
@@ -34,6 +35,7 @@
     token: int = 0
     batch: int = 0  # of the last order in this tenure
     since: int = -1  # the tenure's first token; -1 not known
+    ahead: dict[int, float] | None = None  # ordered under a token whose charge has not come yet
     lines: dict[int, float] = field(default_factory=dict)
     pickers: dict[bool, Picker] = field(default_factory=dict)  # by whether only the own zone serves
     stale: bool = True  # the pickers' weights are to be set anew
@@ -62,6 +64,7 @@
         self.levels: dict[tuple[int, int], dict[int, Level]] = {}  # (assigner, table): by class
         self.version = 0  # rises with each change
         self.token_most = 0  # the highest seen
+        self._room = FEW  # servers remembered before those in no table are forgotten
         self.dropped = 0  # lines whose token was old
 
     # What comes in ------------------------------------------------------------------------------
@@ -73,19 +76,37 @@
         # Written before our last order: the store was away, or the write is on its way. The lines here are newer.
         same = charge.token == table.token or 0 < charge.since == table.since
         if same and charge.batch < table.batch:
+            goes_on = 0 < charge.since == table.since
             table.assigner, table.token, table.since = charge.assigner, charge.token, charge.since
             self.token_most = max(self.token_most, charge.token)
+            if table.ahead is not None and not goes_on:  # the order went by these lines, not by former ones
+                lines = {h.server: h.weight for h in charge.lines} | table.ahead
+                table.lines = {s: w for s, w in lines.items() if w > 0}
+                table.stale = True
+                self.version += 1
+                for held in charge.lines:
+                    self._place(held.server, held.address, held.zone)
+            table.ahead = None
             return
         self.token_most = max(self.token_most, charge.token)
         if charge.token != table.token:
             self.levels.pop((table.assigner, charge.slice), None)
         table.assigner, table.token, table.batch = charge.assigner, charge.token, charge.batch
-        table.since = charge.since
+        table.since, table.ahead = charge.since, None
         table.lines = {h.server: h.weight for h in charge.lines if h.weight > 0}
         table.stale = True
         for held in charge.lines:
             self._place(held.server, held.address, held.zone)
         self.version += 1
+        self._forget()
+
+    def _forget(self) -> None:
+        """Each machine has an id of its own: those that left the tables must not stay for ever."""
+        if len(self.addresses) > self._room or len(self.zones) > self._room:
+            used = {s for table in self.tables.values() for s in table.lines}
+            self.addresses = {s: a for s, a in self.addresses.items() if s in used}
+            self.zones = {s: z for s, z in self.zones.items() if s in used}
+            self._room = 2 * len(used) + FEW
 
     def _place(self, server: int, address: str, zone: int) -> None:
         if address:
@@ -93,6 +114,15 @@
         if zone >= 0:
             self.zones[server] = zone
 
+    def joined(self, assigner: int) -> None:
+        """A stream to it stands anew: it takes us for one that knows no withdrawals and tells what still holds.
+        Guards against what it let in again, or forgot by a restart, while our stream was down."""
+        self.withdrawn.pop(assigner, None)
+        self.levels = {key: by_class for key, by_class in self.levels.items() if key[0] != assigner}
+        for table in self.tables.values():
+            table.stale = table.stale or table.assigner == assigner
+        self.version += 1
+
     def order(self, assigner: int, order: Order) -> None:
         for number in order.clear:
             table = self.tables.get(number)
@@ -109,11 +139,14 @@
             self.token_most = max(self.token_most, line.token)
             if line.token > table.token:
                 table.since = table.since if table.assigner == assigner else -1
-                table.assigner, table.token = assigner, line.token
+                table.assigner, table.token, table.ahead = assigner, line.token, {}
             table.batch = order.batch
             self._place(line.server, line.address, line.zone)
+            if table.ahead is not None:
+                table.ahead[line.server] = line.weight
             if self.single_writer and line.weight > 0:
                 table.lines.clear()
+                table.ahead = None  # one line is all of the table
             if line.weight > 0:
                 table.lines[line.server] = line.weight
             else:
@@ -129,6 +162,7 @@
             classes = [k for k in range(16) if not level.classes or level.classes >> k & 1]
             self.levels.setdefault((assigner, level.table), {}).update(dict.fromkeys(classes, level))
         self.version += 1
+        self._forget()
 
     # What it gives ------------------------------------------------------------------------------
 
--- /dev/null
+++ b/tests/test_after_trouble.py
@@ -0,0 +1,154 @@
+"""What is left when a trouble has ended: bounds, withdrawals, levels, tables and memory of what is gone."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from puffintide import interface as api
+from puffintide.assigner.reports import Gatherer
+from puffintide.assigner.runtime import Runtime
+from puffintide.days.place import at
+from puffintide.proxy.engine import Engine, Finish, Limits, Send
+from puffintide.proxy.tables import Tables
+from puffintide.proxy.tries import Kind, Next, Past, further
+from puffintide.wire import messages as m
+from puffintide.zones.director import ZonedDirector
+from puffintide.zones.plan import ZoneLimits
+from tests.test_zones import Zoned, eight
+from tests.world import server, settings
+
+
+def tables(slices: int = 2) -> Tables:
+    return Tables(slices, 0, "rotate", lambda: 0.5)
+
+
+def line(table: int, sid: int, weight: float, token: int) -> m.Line:
+    return m.Line(table, sid, weight, token, f"127.0.0.1:{5000 + sid}")
+
+
+def order(batch: int, *lines: m.Line, **more: Any) -> m.Order:
+    return m.Order(batch, 0.0, 13.0, list(lines), **more)
+
+
+@pytest.mark.parametrize("what", ["hold", "drain"])
+def test_a_bound_ends_though_its_server_was_gone_when_it_was_lifted(what: str) -> None:
+    world = eight(Zoned)
+    world.tell(api.ZoneHand(0, what, 1.0))
+    world.run(6)  # of a drain's 12 s
+    world.tell(api.ServerList("delta", 2, (server(2, api.GONE),)))
+    world.run(2)
+    world.tell(api.ZoneHand(0, "return", 1.0))
+    world.run(60)
+    world.tell(api.ServerList("delta", 3, (server(2),)))
+    world.run(60)
+    assert 2 in world.main(1)  # the first slice whose default it is
+    seen = world.director.director
+    assert seen.bounds.get(2, 1.0) == 1.0 and seen.capacity(2) > 20
+
+
+def test_a_proxy_that_joins_knows_no_withdrawals_or_levels_of_before() -> None:
+    """What was let in again, or taken back, while its stream was down would be shut out for ever."""
+    held = tables()
+    held.order(0, order(1, line(0, 5, 1.0, 1), out=[5], levels=[m.Level(api.ALL_TABLES, 0, 0.2, 0)]))
+    held.order(1, order(1, line(1, 5, 1.0, 1), out=[5]))
+    assert held.open(0) == {} and held.level(0, 0) == 0.2
+    held.joined(0)
+    assert held.open(0) == {5: 1.0} and held.level(0, 0) == 1.0
+    assert held.open(1) == {}  # another assigner's
+
+
+def test_an_order_that_overtakes_the_charge_it_goes_by_is_laid_on_the_tables_of_that_charge() -> None:
+    held = tables()
+    held.charge(m.Charge(0, 1, 0, [m.Held(1, 1.0, "127.0.0.1:1")], 0, 1))  # all that it heard of the old tenure
+    held.order(1, order(7, line(0, 4, 1.0, 2), line(0, 3, 0.0, 2)))  # goes by a table that held 2 and 3
+    held.charge(m.Charge(0, 2, 1, [m.Held(2, 1.0, "127.0.0.1:2"), m.Held(3, 1.0, "127.0.0.1:3")], 0, 2))
+    assert held.open(0) == {2: 1.0, 4: 1.0}
+
+
+def test_in_an_unbroken_tenure_a_charge_that_is_behind_undoes_no_order() -> None:
+    held = tables()
+    held.charge(m.Charge(0, 1, 0, [m.Held(1, 1.0, "127.0.0.1:1")], 0, 1))
+    held.order(0, order(5, line(0, 2, 1.0, 1), line(0, 1, 0.0, 1)))  # the store is away and has not kept it
+    held.order(0, order(6, line(0, 3, 1.0, 2)))  # back, with a new token that the proxy has not heard of
+    held.charge(m.Charge(0, 2, 0, [m.Held(1, 1.0, "127.0.0.1:1")], 0, 1))
+    assert held.open(0) == {2: 1.0, 3: 1.0}
+
+
+@pytest.mark.parametrize("kind", [0, 1])
+def test_no_answer_says_come_back_where_a_try_may_have_run(kind: int) -> None:
+    """The first try is not answered in time, the second is turned away. A refusal would be taken for a proof."""
+    limits = Limits(
+        slices=1, kinds=(Kind("repeatable", "all", 0, 0.5), Kind("by_key", "all", 3.0, 0.5)), own_zone=(False, False),
+        retry_default=2, retry_wait_aims=1.0, shun_after=0, shun_s=5.0, admit="silent", pick="rotate", hold_s=0.2,
+        again_s=0.5, zone=0,
+    )  # fmt: skip
+    engine = Engine(limits, lambda: 0.5)
+    engine.order(0.0, 0, order(1, line(0, 1, 1.0, 1), line(0, 2, 1.0, 1)))
+    engine.asked(1.0, "r", 1, 0, kind, 4.0)
+    for sid in (1, 2):
+        engine.server_up(1.0, sid)
+    first = next(s for s in (1, 2) if engine.servers.get(s) and engine.servers[s].out)
+    other = 3 - first
+    engine.due(1.6)
+    second = engine.server_up(1.6, other)
+    assert isinstance(second[0], Send)
+    (end,) = engine.answered(1.7, other, second[0].key, m.FULL, [])
+    assert isinstance(end, Finish) and end.ran
+    assert end.status == m.TIMEOUT and end.again_s == 0
+
+
+def test_what_is_gone_is_forgotten() -> None:
+    """A machine that is replaced has a new id: a thousand of them must not stay in anybody's memory."""
+    runtime = Runtime(settings(slices=4, report_names=("rif",)), lambda s: ZonedDirector(s, ZoneLimits()))
+    decider: Any = runtime.decider
+    held, reports, now = tables(4), Gatherer(300.0, False), 1000.0
+    runtime.joined(now, 0, 0, 0.0, True)
+    for first in range(0, 4000, 4):  # four at a time, each 30 s
+        ids = range(first, first + 4)
+        runtime.news(now, m.News("full", first, [m.Entry(s, s % 2, 0, 0, 1, 2.0, 1, -1.0, at(5000 + s)) for s in ids]))
+        if first == 0:
+            for n in range(4):
+                runtime.charge(now, m.Charge(n, n + 1, 0, [m.Held(n, 1.0, at(5000 + n))], 0, n + 1))
+        for step in range(6):
+            now += 5.0
+            sums = m.Sums(0.5, [m.ServerSum(s, 9, 0, 0.5, [1.0]) for s in ids], [m.SliceSum(0, 0, 9, 0)])
+            reports.add(now, 0, 0, sums)
+            runtime.hear(now, *reports.take(now), api.ProbeResult(first + step % 4, 0, 0.01, (1.0,)))
+            runtime.hear(now, api.TimerDue(1))
+            effects = runtime.tick(now)
+            assert effects is not None
+            for _, made in effects.orders:
+                held.order(0, made)
+    assert set(held.open(0)) <= set(ids)
+    plan, module = decider.plan, decider.director
+    sizes = {
+        "module": len(module.servers), "bounds": len(module.bounds), "withdrawn": len(module.withdrawn),
+        "plan": len(plan.servers), "growth": len(plan.growth), "behind": len(plan.behind),
+        "addresses": len(runtime.addresses), "zones": len(runtime.zones), "starts": len(runtime._started),
+        "reports": len(reports._told), "proxy": len(held.addresses), "proxy's zones": len(held.zones),
+    }  # fmt: skip
+    assert all(size <= 150 for size in sizes.values()), sizes
+
+
+def test_a_proxy_forgets_failures_at_servers_that_are_gone() -> None:
+    limits = Limits(
+        slices=1, kinds=(Kind("once", "all", 0.0, 0.5),), own_zone=(False,), retry_default=0, retry_wait_aims=1.0,
+        shun_after=1, shun_s=5.0, admit="silent", pick="rotate", hold_s=0.2, again_s=0.5, zone=0,
+    )  # fmt: skip
+    engine = Engine(limits, lambda: 0.5)
+    for sid in range(1, 2000):
+        now = 100.0 * sid
+        engine.order(now, 0, order(sid, line(0, sid, 1.0, 1), line(0, sid - 1, 0.0, 1)))
+        engine.asked(now, sid, sid, 0, 0, 4.0)
+        engine.server_lost(now, sid)
+    assert len(engine._failed) < 200 and len(engine._shunned) < 200 and len(engine.servers) < 200
+
+
+def test_a_keyed_request_whose_zone_is_not_known_is_not_sent_to_another() -> None:
+    """First tables of a store tell no zones. Where a zone's servers drop repeats, anywhere is not there."""
+    kind = Kind("by_key", "zone", 3.0, 0.5)
+    assert further(kind, 2, Past(0, False, 1.0, -1), 1.5, 9.0) is None
+    assert further(kind, 2, Past(0, False, 1.0, 1), 1.5, 9.0) == Next(1)
+    assert further(kind, 2, Past(0, True, None, -1), 1.5, 9.0) == Next(-1)  # it never ran
