Proxies read the store now and then: a lost message does no lasting harm

Ruled out: marks, which tell the module that an order was not applied, but not the proxy; numbering orders, which shows a loss only with the next one. At fault: proxy/service.py read the store when it joined somewhere, and never again. Change: [charge] refresh_s (5 s): it asks for what changed since its last reading, an older reading than its last order counting for nothing as before.

--- a/puffintide/config/schema.py
+++ b/puffintide/config/schema.py
@@ -117,6 +117,7 @@
         200.0  # slices that go home to an assigner that is back, or where an operator moved them
     )
     reread_s: Positive = 1.0  # a proxy that joins reads the store at once, and again so long after
+    refresh_s: Positive = 5.0  # and then each time so long after, what changed meanwhile
 
 
 class ZonesSection(Section):
--- a/puffintide/proxy/service.py
+++ b/puffintide/proxy/service.py
@@ -187,12 +187,18 @@
 
     def _read_store(self) -> None:
         """Orders of the time without a stream are lost to us. They are in the store, or on their way to it: so a
-        second reading follows the first."""
-        self._read_again()
-        if self.reread is None or not self.reread.active():
-            self.reread = self.reactor.callLater(self.config.charge.reread_s, self._read_again)
+        second reading follows the first. Readings go on, of what changed since the last: they guard against a
+        message lost on a stream that stands, which nothing else would show."""
+        self._read()
+        if self.reread is not None and self.reread.active():
+            self.reread.cancel()
+        self.reread = self.reactor.callLater(self.config.charge.reread_s, self._read_again)
 
     def _read_again(self) -> None:
+        self._read()
+        self.reread = self.reactor.callLater(self.config.charge.refresh_s, self._read_again)
+
+    def _read(self) -> None:
         if self.store is not None:
             self.store.send(m.Read(*self.read))
 
