A slice that moved does not go back at once

At fault: policy.py, publish(): each ordinary change follows the plan of the moment. Change: the former places of a slice are barred for REST_S (5 s) as an ordinary change; lost, cold and ejected servers are left as before.

--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -47,6 +47,7 @@
 LOST = 0.2  # a message counts as waiting until applied, or until the channel had sent it at this speed
 USUAL = 0.5  # load of the median server, where nothing tells it
 PROBES_KEPT = 200  # latest probes that tell how full servers are
+REST_S = 5.0  # a slice that has moved does not go back for so long, but for a loss
 FORGET_S = 600.0  # a server that is gone and in no table is forgotten: each machine has an id of its own
 SLOWED = 1.25  # a probe that takes this many times the server's quickest had to share or wait
 
@@ -108,6 +109,8 @@
     lines: dict[int, float] = field(default_factory=dict)  # the table as the store has it
     heat: defaultdict[int, Rate] = field(default_factory=lambda: defaultdict(Rate))  # by class
     places: list[int] = field(default_factory=list)  # servers that share it evenly
+    former: list[int] = field(default_factory=list)  # those before
+    moved: float = -math.inf  # when these last changed
 
 
 class Director:
@@ -570,7 +573,8 @@
             weak = [s for s in left if self.warmth(s) < 1 or not (self.servers[s].level or s in plan[number])]
             if lost or weak or not any(self.ready(s) and s not in self.withdrawn for s in view.lines):
                 must.append(number)
-        may = sorted(self.slices.keys() - must) if ordinary and not stale else []
+        rests = {n for n, v in self.slices.items() if self.now - v.moved < REST_S and set(plan[n]) == set(v.former)}
+        may = sorted(self.slices.keys() - must - rests) if ordinary and not stale else []
         # At stake first: slices of lost servers, then of cold ones, each time the hottest first.
         whole = {s for s in self.servers if self.ready(s) and self.warmth(s) >= 1}
         must.sort(key=lambda n: (not whole.isdisjoint(self.slices[n].places), -self.heat(self.slices[n]), n))
@@ -629,6 +633,8 @@
     def commit(self, number: int, places: list[int], changes: list[api.SetLine]) -> None:
         view = self.slices[number]
         view.default = next(iter(places), None) if view.default is None else view.default
+        if set(places) != set(view.places):
+            view.former, view.moved = view.places, self.now
         lines = ({} if self.set.single_writer else view.lines) | {c.server: c.weight for c in changes}
         view.lines, view.places = {s: w for s, w in lines.items() if w > 0}, list(places)
 
--- a/tests/test_after_trouble.py
+++ b/tests/test_after_trouble.py
@@ -10,6 +10,7 @@
 from puffintide.assigner.reports import Gatherer
 from puffintide.assigner.runtime import Runtime
 from puffintide.days.place import at
+from puffintide.policy import REST_S
 from puffintide.proxy.engine import Engine, Finish, Limits, Send
 from puffintide.proxy.tables import Tables
 from puffintide.proxy.tries import Kind, Next, Past, further
@@ -17,7 +18,7 @@
 from puffintide.zones.director import ZonedDirector
 from puffintide.zones.plan import ZoneLimits
 from tests.test_zones import Zoned, eight
-from tests.world import server, settings
+from tests.world import World, server, settings
 
 
 def tables(slices: int = 2) -> Tables:
@@ -154,3 +155,41 @@
     assert further(kind, 2, Past(0, False, 1.0, -1), 1.5, 9.0) is None
     assert further(kind, 2, Past(0, False, 1.0, 1), 1.5, 9.0) == Next(1)
     assert further(kind, 2, Past(0, True, None, -1), 1.5, 9.0) == Next(-1)  # it never ran
+
+
+def swings(world: World, within_s: float) -> list[tuple[int, float]]:
+    """Slices that went from some servers to others and back within so long, and when."""
+    found, before = [], dict[int, list[tuple[float, frozenset[int]]]]()
+    tables: dict[int, dict[int, float]] = {n: {} for n in world.tables}
+    for at_s, actions in world.log:
+        for a in (a for a in actions if isinstance(a, api.SetLine)):
+            tables[a.table][a.server] = a.weight
+        for number in {a.table for a in actions if isinstance(a, api.SetLine)}:
+            main = frozenset(s for s, w in tables[number].items() if w >= 1)
+            row = before.setdefault(number, [])
+            if not row or row[-1][1] != main:
+                row.append((at_s, main))
+            if len(row) > 2 and row[-3][1] == main and at_s - row[-2][0] < within_s and row[-1][0] == at_s:
+                found.append((number, at_s))
+    return found
+
+
+def test_heat_that_comes_and_goes_swings_no_slice_back_and_forth() -> None:
+    world = World(slices=24)
+    for step in range(40):
+        crowded = step % 2
+        world.heat = {n: (6.0 if n % 4 == 0 and crowded else 1.0) for n in world.heat}
+        world.run(2.0)
+    assert world.moves() > 0
+    assert not swings(world, REST_S)
+
+
+def test_a_lost_server_is_left_though_its_slice_has_just_come() -> None:
+    world = World(slices=24)
+    world.heat = {n: (6.0 if n % 4 == 0 else 1.0) for n in world.heat}
+    world.run(6)
+    fresh = (n for n, v in world.director.slices.items() if v.moved > world.now - REST_S)
+    number = next(fresh)
+    moved = world.main(number)
+    world.tell(api.ServerList("delta", 2, tuple(server(s, api.DRAINING) for s in moved)))
+    assert not world.main(number) & moved
