A hot slice without room for its parts leaves a cold server; no going back for 4 s

Ruled out: the rest after a move (off, it breaks as well), late reports (0.0 to 0.5 s old), the channel (under a fifth of it used), the estimate of the server's capacity alone: heat 17 beside a capacity of 11 to 13, told in time. At fault: policy.py, detour(): the slice was planned in 4 parts; none of the others found room, and its home, cold, was counted with one part while all of it came there. Change: where a slice has fewer places than parts, its cold ones are given to the roomiest warm server.

--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -47,7 +47,7 @@
 LOST = 0.2  # a message counts as waiting until applied, or until the channel had sent it at this speed
 USUAL = 0.5  # load of the median server, where nothing tells it
 PROBES_KEPT = 200  # latest probes that tell how full servers are
-REST_S = 5.0  # a slice that has moved does not go back for so long, but for a loss
+REST_S = 4.0  # a slice that has moved does not go back for so long, but for a loss; outlasts WINDOW_S
 FORGET_S = 600.0  # a server that is gone and in no table is forgotten: each machine has an id of its own
 SLOWED = 1.25  # a probe that takes this many times the server's quickest had to share or wait
 
@@ -517,6 +517,11 @@
                 if target is None or load[target] + cost(number, target) > SHORT * can[target]:
                     break
                 move(number, None, target)
+            # What finds no place falls on those it has. A cold one among them would be pushed over.
+            for sid in [s for s in plan[number] if s in raw and len(plan[number]) < pieces[number]]:
+                spared = roomiest(number)
+                if spared in warm:
+                    move(number, sid, spared)
         return plan
 
     def shed(self) -> None:
@@ -573,7 +578,8 @@
             weak = [s for s in left if self.warmth(s) < 1 or not (self.servers[s].level or s in plan[number])]
             if lost or weak or not any(self.ready(s) and s not in self.withdrawn for s in view.lines):
                 must.append(number)
-        rests = {n for n, v in self.slices.items() if self.now - v.moved < REST_S and set(plan[n]) == set(v.former)}
+        fresh = {n: v for n, v in self.slices.items() if self.now - v.moved < REST_S}
+        rests = {n for n, v in fresh.items() if set(plan[n]) == set(v.former)}
         may = sorted(self.slices.keys() - must - rests) if ordinary and not stale else []
         # At stake first: slices of lost servers, then of cold ones, each time the hottest first.
         whole = {s for s in self.servers if self.ready(s) and self.warmth(s) >= 1}
--- a/tests/test_after_trouble.py
+++ b/tests/test_after_trouble.py
@@ -193,3 +193,16 @@
     moved = world.main(number)
     world.tell(api.ServerList("delta", 2, tuple(server(s, api.DRAINING) for s in moved)))
     assert not world.main(number) & moved
+
+
+def test_a_hot_slice_that_finds_no_places_is_not_left_whole_on_a_cold_server() -> None:
+    """It is planned in parts; with no room for the others, all of it would fall on the one that has a place."""
+    world = World(warm_within_s=20.0)
+    world.heat = {n: 1.0 if n % 4 == 0 else 9.5 for n in world.heat}  # servers 2, 3 and 4 at 0.95
+    world.run(10)
+    world.heat[0] = 25.0
+    world.tell(api.ServerList("delta", 2, (server(1, started=world.now),)))
+    for _ in range(8):
+        world.run(1)
+        cold = 0.25 + 0.75 * (world.now - world.director.servers[1].entry.started) / 20.0
+        assert world.load(1) <= 1.5 * cold * 30.0 or world.now < world.director.servers[1].entry.started + 2
