Servers that are gone are probed no more

Seen (test): after a shrink an assigner went on holding a probe stream, with its heartbeats, to each server that had gone, and their entries stayed in the list's cache. At fault: assigner/service.py never took a prober or a listed entry out. Ruled out: the module, which probes servers listed ready alone. Change: with each list the probers and entries of what is not listed go. 8 probers before, 6 after.

--- a/puffintide/assigner/service.py
+++ b/puffintide/assigner/service.py
@@ -271,6 +271,8 @@
                 if message.kind != "failed":
                     self.list_version = message.version
                     self._save_list(message)
+                for server in sorted(self.probers.keys() - self.runtime.entries.keys()):
+                    self.probers.pop(server).stop()
                 states = {e.id: e.state for e in message.servers}
                 self.log.info("list", kind=message.kind, version=message.version, states=states)
                 self._schedule()
@@ -282,6 +284,7 @@
             self.list_entries = {}
         now = self.now()
         self.list_entries.update({e.id: (e, now) for e in news.servers})
+        self.list_entries = {k: row for k, row in self.list_entries.items() if row[0].state != api.GONE}
         if self.me.list_cache and self.list_saving is None:
             self.list_saving = self.reactor.callLater(0.2, self._write_list)
 
--- a/tests/test_after_trouble.py
+++ b/tests/test_after_trouble.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -17,6 +18,7 @@
 from puffintide.wire import messages as m
 from puffintide.zones.director import ZonedDirector
 from puffintide.zones.plan import ZoneLimits
+from tests.deployment import Deployment
 from tests.test_zones import Zoned, eight
 from tests.world import World, server, settings
 
@@ -206,3 +208,11 @@
         world.run(1)
         cold = 0.25 + 0.75 * (world.now - world.director.servers[1].entry.started) / 20.0
         assert world.load(1) <= 1.5 * cold * 30.0 or world.now < world.director.servers[1].entry.started + 2
+
+
+def test_servers_that_are_gone_are_probed_no_more(tmp_path: Path) -> None:
+    faults = {"f": {"kind": "shrink", "at_s": 1, "for_s": 2, "servers": "1, 2"}}
+    deployment = Deployment(tmp_path, faults, day={"length_s": 6})
+    deployment.play()
+    for assigner in deployment.assigners.values():
+        assert set(assigner.probers) == set(assigner.list_entries) == {0, 3, 4, 5, 6, 7}
--- /dev/null
+++ b/tests/test_planted.py
@@ -0,0 +1,138 @@
+"""Each rule broken on purpose in a made-up day is found by the audit; second attempts counted end to end."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from puffintide import interface as api
+from puffintide.assigner.runtime import Runtime
+from puffintide.audit.records import read
+from puffintide.policy import Director
+from puffintide.proxy import engine
+from puffintide.proxy.tries import Next
+from puffintide.standins.model import ServerModel
+from puffintide.wire import messages as m
+from tests.deployment import SECTIONS, Deployment
+from tests.test_faults import fault
+
+
+def drop_lines(patch: pytest.MonkeyPatch) -> None:
+    """Tables are emptied, and nothing comes in place."""
+    tick = Runtime._carry_out
+
+    def carry(self: Runtime, now: float, actions: tuple[api.Action, ...], out: Any) -> None:
+        empty = [replace(a, weight=0.0) if isinstance(a, api.SetLine) else a for a in actions]
+        tick(self, now, tuple(empty), out)
+
+    patch.setattr(Runtime, "_carry_out", carry)
+
+
+def repeat_all(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(engine, "further", lambda kind, mode, past, now, deadline: Next(-1) if past.number < 1 else None)
+
+
+def deaf(patch: pytest.MonkeyPatch) -> None:
+    """No list is taken in after the first."""
+    see = Director.see_list
+
+    def once(self: Director, event: api.ServerList) -> None:
+        if not self.servers:
+            see(self, event)
+
+    patch.setattr(Director, "see_list", once)
+
+
+def all_warm(patch: pytest.MonkeyPatch) -> None:
+    """New servers are taken for warm and get all slices."""
+
+    def newest(self: Director, plan: dict[int, list[int]]) -> dict[int, list[int]]:
+        ready = self.ready_views()
+        return {n: [max(ready, key=lambda v: v.entry.started).entry.id] if ready else p for n, p in plan.items()}
+
+    patch.setattr(ServerModel, "_push", lambda self, now, work: None)  # it stands what would end it
+    patch.setattr(Director, "warmth", lambda self, sid: 1.0)
+    patch.setattr(Director, "detour", newest)
+
+
+def chatter(patch: pytest.MonkeyPatch) -> None:
+    """Every round rewrites every table."""
+    publish = Director.publish
+
+    def often(self: Director, plan: Any) -> None:
+        publish(self, plan)
+        self.actions += [api.SetLine(n, s, 1.0) for n, view in self.slices.items() for s in view.lines]
+
+    patch.setattr(Director, "publish", often)
+
+
+PLANTED: dict[str, tuple[Callable[[pytest.MonkeyPatch], None], dict[str, Any]]] = {
+    "nobody left": (drop_lines, {"f": fault("crash", 2, 9, servers="1, 2")}),
+    "no effect twice": (repeat_all, {"f": fault("hang", 2, 6, servers="1, 2")}),
+    "drains kept": (deaf, {"f": fault("deploy", 2, 1, servers="1, 2", size=2, extra=7)}),
+    "cold not pushed over": (all_warm, {"f": fault("mass_restart", 2, 1, servers=2, extra=1)}),
+    "short queue": (chatter, {}),
+}
+
+
+@pytest.mark.parametrize("rule", PLANTED)
+def test_a_planted_breach_is_found(rule: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    plant, faults = PLANTED[rule]
+    plant(monkeypatch)
+    changes: dict[str, Any] = {"day": {"length_s": 12}, "load": {"requests_per_s": 60}, "rules": {"cold_from": 0.1}}
+    if rule == "cold not pushed over":
+        changes |= {"fleet": {"cold_from": 0.1, "warm_s": 8, "add_s": 0.05}, "load": {"requests_per_s": 120}}
+    verdict = Deployment(tmp_path, faults, **changes).play(2.0)
+    assert rule in {f.rule for f in verdict.judgement.findings}
+
+
+# Second attempts --------------------------------------------------------------------------------------------
+
+FURTHER = {0: 0, 1: 1, 2: 1, 3: 2}
+
+
+def sends(out: Path) -> Iterator[tuple[tuple[int, int], m.Try, int]]:
+    with (out / "tap.jsonl").open("rb") as lines:
+        records = read(lines, "tap").records
+    answers = {(r.conn, r.message.id): r.message.status for r in records if isinstance(r.message, m.Answer)}
+    for r in records:
+        if isinstance(r.message, m.Try):
+            yield (r.message.proxy, r.message.request), r.message, answers.get((r.conn, r.message.id), -1)
+
+
+@pytest.mark.parametrize("mode", [0, 1, 2, 3])
+@pytest.mark.parametrize("trouble", ["all full", "hang", "crash"])
+def test_sends_for_each_request_stay_within_the_product_of_all_layers(
+    mode: int, trouble: str, tmp_path: Path
+) -> None:
+    """Clients ask at most twice, a proxy sends each ask at most 1 + FURTHER times: the worst product is 2, 4 or 6.
+    A once request reaches servers that may run it at most once an ask; where all are full little is multiplied."""
+    faults = {
+        "all full": {"f": fault("shared_slow", 2, 8, size=12)},
+        "hang": {"f": fault("hang", 2, 6, servers="1, 2, 4")},
+        "crash": {"f": fault("crash", 2, 6, servers="1, 2, 4")},
+    }[trouble]
+    deployment = Deployment(
+        tmp_path, faults, day={"length_s": 11}, deployment={"retry_default": mode}, fleet={"queue_per_core": 3},
+        load={"retries": 1, "requests_per_s": 50},
+    )  # fmt: skip
+    verdict = deployment.play()
+    assert not verdict.judgement.findings
+    tries: Counter[tuple[int, int]] = Counter()
+    ran: dict[tuple[int, int], int] = defaultdict(int)
+    for who, made, status in sends(tmp_path):
+        tries[who] += 1
+        ran[who] += made.request_class == 2 and status != m.FULL  # once: it may have run
+    assert tries and max(tries.values()) <= 1 + FURTHER[mode]
+    assert max(ran.values()) <= 1
+    asked = verdict.service.asked
+    assert sum(tries.values()) <= 2 * (1 + FURTHER[mode]) * asked
+    assert deployment.clients.next_ask <= 2 * asked
+    connects = sum(1 for line in (tmp_path / "tap.jsonl").open() if '"l":"try' in line and '"role":"proxy"' in line)
+    servers, proxies = len(SECTIONS["fleet"]) and 10, len(deployment.proxies)
+    assert connects <= sum(tries.values()) + servers * proxies  # a dead server is dialled once a try at most
