--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -71,6 +71,31 @@
         self.rightNow = max(self.rightNow, when)
 
 
+class Later:
+    """A timer of a process: while that stands still it comes due, and may yet be cancelled by what runs first."""
+
+    def __init__(self, party: Party, delay: float, call: Callable[..., Any], args: tuple[Any, ...]) -> None:
+        self.party, self.call, self.args, self.open = party, call, args, True
+        self.due: Any = party.net.callLater(delay, party.run, self._go)
+
+    def _go(self) -> None:
+        if self.open:
+            self.open = False
+            self.call(*self.args)
+
+    def active(self) -> bool:
+        return self.open
+
+    def getTime(self) -> float:
+        return float(self.due.getTime())
+
+    def cancel(self) -> None:
+        assert self.open
+        self.open = False
+        if self.due.active():
+            self.due.cancel()
+
+
 class Party:
     """What one process sees of the reactor. It ends with the process, and stands still with it."""
 
@@ -84,7 +109,7 @@
         return float(self.net.seconds())
 
     def callLater(self, delay: float, call: Callable[..., Any], *args: Any) -> Any:
-        return self.net.callLater(delay, self.run, call, *args)
+        return Later(self, delay, call, args)
 
     def run(self, call: Callable[..., Any], *args: Any) -> None:
         if self.alive and self.stopped:
