--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -395,3 +395,27 @@
 )
 def test_gaps_are_told(bend: Callable[[list[bytes]], list[bytes]], words: str) -> None:
     assert any(words in gap for gap in read(bend(lines(5)), "tap.jsonl").gaps)
+
+
+def test_withdrawals_end_for_a_proxy_that_joins_anew() -> None:
+    bare = {}
+    for anew in (False, True):
+        t = Tape()
+        for a in (0, 1):
+            t.order(110, a, 0, out=(0, 1, 2, 3))
+        if anew:
+            t.add(111, "order:0", "proxy", 0, m.Welcome(m.VERSION, "assigner", 0), back=True)
+        t.request(140, 1, proxy=1, number=1)
+        bare[anew] = {f.who for f in t.judge().findings if f.rule == "nobody left"}
+    assert {"proxy 0, slice 0, assigner 0", "proxy 0, slice 1, assigner 1"} <= bare[False]
+    assert "proxy 0, slice 1, assigner 1" in bare[True] and not any("assigner 0" in who for who in bare[True])
+
+
+def test_an_entry_that_cannot_be_is_not_told() -> None:
+    found = {}
+    for entries in ([0], [0, 0]):  # gone; told twice
+        t = Tape()
+        t.news(110, 0, *[t.entry(s, state=0) for s in entries])
+        t.request(120, 0, number=0)
+        found[len(entries)] = broken(t.judge())
+    assert found == {1: {"drains kept"}, 2: set()}
