--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -87,14 +87,19 @@
 
 @pytest.mark.parametrize("line", [b"{}", b"\xff\xfe", b"[" * 3000, b'{"t":"order","batch":', b"x" * (5 << 20)])
 def test_a_damaged_frame_ends_its_stream_alone(line: bytes, tmp_path: Path) -> None:
-    play(tmp_path, lambda d: d.assigners[0].proxies[1].send_line(line))
+    deployment = play(tmp_path, lambda d: d.assigners[0].proxies[1].send_line(line))
+    assert [e for e, _ in deployment.log["proxy:1"].rows] == ["assigner_lost"]
 
 
 def test_a_clients_time_without_end_is_refused(tmp_path: Path) -> None:
+    asked: list[Any] = []
+
     def put(d: Deployment) -> None:
-        d.clients.streams[0].send_line(encode(m.Ask(10**6, 0, 1, 1e300, 0.05)))
+        asked.append(d.clients.streams[0])
+        asked[0].send_line(encode(m.Ask(10**6, 0, 1, 1e300, 0.05)))
 
     deployment = play(tmp_path, put)
+    assert asked[0].ended and "time left" in asked[0].reason
     assert not any(proxy.engine.requests for proxy in deployment.proxies.values())
 
 
