Which unkept lines are written again is decided in a pure module

Cause: whether a line outlives a change of charge stood between the assigner's calls on sockets. Change: assigner/unkept.py, as it was, with a test of its own.

--- a/puffintide/assigner/service.py
+++ b/puffintide/assigner/service.py
@@ -16,6 +16,7 @@
 from puffintide.assigner.handover import FIRST_MARK, Steps, budgeted, handover_for
 from puffintide.assigner.reports import Gatherer
 from puffintide.assigner.runtime import Effects, Runtime
+from puffintide.assigner.unkept import Unkept
 from puffintide.config.loader import Config, settings
 from puffintide.policy import Director
 from puffintide.tls.context import Contexts
@@ -49,7 +50,7 @@
         self.zoned = ZonedDirector(self.settings, limits) if config.zones.plan else None
         zoned = self.zoned
         self.runtime = Runtime(self.settings, (lambda _: zoned) if zoned is not None else Director)
-        self.unkept: dict[tuple[int, int], tuple[int, m.Line]] = {}  # by table and server: batch, line
+        self.unkept = Unkept()
         self.hands: dict[int, int] = {}  # number of the order that stands, by zone
         self.channel = Channel(
             self.settings.channel_lines_per_s, self.settings.channel_limit, self.settings.messages_span_s
@@ -219,7 +220,7 @@
                 self.reports.forget_slice(message.slice)
                 self.log.info("slice_taken", slice=message.slice)
             case m.Written():
-                self.unkept = {k: row for k, row in self.unkept.items() if row[0] > message.batch}
+                self.unkept.kept(message.batch)
                 if self.handover is not None:
                     self._step(self.handover.written(now, message.batch))
             case m.Refused():
@@ -229,7 +230,7 @@
         self._schedule()
 
     def _void(self, number: int) -> None:
-        self.unkept = {k: row for k, row in self.unkept.items() if k[0] != number}
+        self.unkept.void(number)
         if self.handover is not None:
             self.handover.refused(number)
 
@@ -240,12 +241,8 @@
                 self.handover.token(number, self.runtime.tokens[number])
             self._write(self.handover.again())
             return
-        rows = [(k, row) for k, row in self.unkept.items() if k[0] in slices]
-        lines = [
-            msgspec.structs.replace(line, token=self.runtime.tokens[table]) for (table, _), (_, line) in rows
-        ]
+        batch, lines = self.unkept.again(slices, self.runtime.tokens)
         if lines and self.store is not None:
-            batch = max(row[0] for _, row in rows)
             self.store.send(m.Write(batch, lines))
             self.log.info("write_again", batch=batch, lines=len(lines))
 
@@ -352,9 +349,7 @@
             self._step(self.handover.put(now, effects.batch, effects.writes, effects.orders))
             effects.orders = []
         elif effects.writes:
-            for line in effects.writes:
-                self.unkept.pop((line.table, line.server), None)  # the newest goes last
-                self.unkept[line.table, line.server] = (effects.batch, line)
+            self.unkept.put(effects.batch, effects.writes)
             if self.store is not None:
                 self.store.send(m.Write(effects.batch, effects.writes))
             else:
--- a/tests/test_after_trouble.py
+++ b/tests/test_after_trouble.py
@@ -10,6 +10,7 @@
 from puffintide import interface as api
 from puffintide.assigner.reports import Gatherer
 from puffintide.assigner.runtime import Runtime
+from puffintide.assigner.unkept import Unkept
 from puffintide.days.place import at
 from puffintide.policy import REST_S
 from puffintide.proxy.engine import Engine, Finish, Limits, Send
@@ -216,3 +217,13 @@
     deployment.play()
     for assigner in deployment.assigners.values():
         assert set(assigner.probers) == set(assigner.list_entries) == {0, 3, 4, 5, 6, 7}
+
+
+def test_unkept_lines_stand_for_an_unbroken_tenure_alone() -> None:
+    unkept = Unkept()
+    unkept.put(3, [line(0, 1, 1.0, 1), line(1, 1, 1.0, 2)])
+    unkept.put(5, [line(0, 1, 0.5, 1), line(2, 1, 1.0, 3)])
+    unkept.kept(3)  # the newer line of slice 0 is not kept by that
+    unkept.void(2)
+    assert unkept.again({0, 1, 2}, {0: 9, 1: 9, 2: 9}) == (5, [line(0, 1, 0.5, 9)])
+    assert unkept.again({1}, {}) == (0, [])
