--- a/puffintide/drill/__main__.py
+++ b/puffintide/drill/__main__.py
@@ -8,9 +8,9 @@
 from typing import BinaryIO
 
 from puffintide.drill.codec import Decoder, Exit, Hello, WireError, encode_action, encode_fault, frame
-from puffintide.drill.settings import SettingsError, parse_settings
 from puffintide.interface import Event
 from puffintide.policy import Director
+from puffintide.settings import SettingsError, parse_settings
 
 CLOCK = 8  # bytes of the clock that opens every batch
 
--- /dev/null
+++ b/puffintide/node/relay.py
@@ -0,0 +1,206 @@
+"""Orders on their way to the relay: which go into the next call, and what each answer means. Sans-I/O.
+
+One reply of the module is one call, and so one message to each proxy. Calls go out one after another. Of each
+line, server and level only the newest wish is ever sent: what is sent again after a call that may or may not have
+been carried out never puts an older value over a newer one.
+"""
+
+from __future__ import annotations
+
+import json
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from puffintide import interface as api
+from puffintide.node.names import Names
+
+BYTES_MOST = 60_000
+WRAP = len('{"orders":[]}')
+INVALID_MOST = 3  # times that a call is turned away as none before its orders are given up
+
+Key = tuple[str, int, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    key: Key
+    text: bytes
+    rank: int  # in a reply that needs several calls: withdrawals, what adds, what takes away, levels, marks
+    value: float = 0.0
+
+
+def _text(**fields: object) -> bytes:
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def orders(
+    actions: Iterable[api.Action], names: Names, host: Callable[[int], str | None], held: Iterable[int]
+) -> tuple[list[Order], list[str]]:
+    """The module's actions as orders, and reasons for those that can't be said."""
+    out: list[Order] = []
+    wrong: list[str] = []
+    slices = frozenset(held)
+    for action in actions:
+        match action:
+            case api.SetLine(table, server, weight):
+                name = host(server)
+                if name is None:
+                    wrong.append(f"line of slice {table}: server {server} has no name")
+                elif table in slices:
+                    text = _text(do="SET", group=table, host=name, share=round(weight, 6))
+                    out.append(Order(("line", table, server), text, 1 if weight > 0 else 2, weight))
+            case api.Withdraw(server, gone):
+                name = host(server)
+                if name is None:
+                    wrong.append(f"withdrawal: server {server} has no name")
+                else:
+                    text = _text(do="OUT" if gone else "IN", host=name)
+                    out.append(Order(("server", server, 0), text, 0 if gone else 3))
+            case api.Admit(table, classes, level, retry):
+                fields: dict[str, object] = {"do": "LIMIT"}
+                if table != api.ALL_TABLES:
+                    fields["group"] = table
+                if classes:
+                    fields["for"] = names.classes_of(classes)
+                out.append(
+                    Order(("level", table, classes), _text(**fields, gate=round(level, 4), again=retry), 4)
+                )
+            case api.Mark(number):
+                out.append(Order(("mark", number, 0), _text(do="SYNC", stamp=number, yes=0), 5))
+    return out, wrong
+
+
+@dataclass(slots=True)
+class Call:
+    orders: list[Order]
+    body: bytes
+
+
+@dataclass(slots=True)
+class Outbox:
+    """put() orders, next() the call to make now, then one of taken(), unsure(), refused() with its fate."""
+
+    messages_most: int = 0  # messages that one proxy may be written within span_s; 0: no limit
+    span_s: float = 10.0
+    _waiting: dict[Key, Order] = field(default_factory=dict)
+    _out: Call | None = None
+    _sent: deque[float] = field(default_factory=deque)  # calls that were or may have been carried out
+    _invalid: int = 0
+    unsure_calls: int = 0
+    dropped: int = 0
+
+    def put(self, new: Iterable[Order]) -> None:
+        for order in new:
+            self._waiting.pop(order.key, None)
+            self._waiting[order.key] = order
+
+    def void(self, number: int) -> None:
+        """A slice left our charge: what waits for it is void."""
+        self._waiting = {k: o for k, o in self._waiting.items() if not (k[0] == "line" and k[1] == number)}
+
+    def waits(self, number: int, server: int) -> bool:
+        key = ("line", number, server)
+        return key in self._waiting or (self._out is not None and any(o.key == key for o in self._out.orders))
+
+    def __len__(self) -> int:
+        return len(self._waiting) + (len(self._out.orders) if self._out else 0)
+
+    @property
+    def busy(self) -> bool:
+        return self._out is not None
+
+    def ready_in(self, now: float) -> float | None:
+        """Seconds until a call may go out, None when nothing is to be sent or one is out."""
+        if self._out is not None or not self._waiting:
+            return None
+        while self._sent and self._sent[0] <= now - self.span_s:
+            self._sent.popleft()
+        if self.messages_most and len(self._sent) >= self.messages_most:
+            return max(0.0, self._sent[0] + self.span_s - now)
+        return 0.0
+
+    def next(self) -> Call:
+        """The next call. Guards the limit of bytes: what does not fit goes in an order that is safe in parts."""
+        waiting = list(self._waiting.values())
+        if sum(len(o.text) + 1 for o in waiting) + WRAP > BYTES_MOST:
+            waiting.sort(key=lambda o: o.rank)
+        size, chosen = WRAP, []
+        for order in waiting:
+            size += len(order.text) + 1
+            if size > BYTES_MOST:
+                break
+            chosen.append(order)
+        for order in chosen:
+            del self._waiting[order.key]
+        self._out = Call(chosen, b'{"orders":[' + b",".join(o.text for o in chosen) + b"]}")
+        return self._out
+
+    def _return(self, back: list[Order]) -> None:
+        """Orders that are to be sent again, before those that wait, unless a newer wish waits."""
+        rest = {o.key: o for o in back if o.key not in self._waiting}
+        self._waiting = rest | self._waiting
+
+    def _end(self) -> Call:
+        call, self._out = self._out, None
+        assert call is not None
+        return call
+
+    def taken(self, now: float, accepted: int) -> Order | None:
+        """The answer. The order after the last accepted is bad: it is given back, and passed over."""
+        call = self._end()
+        self._invalid = 0
+        if accepted > 0:
+            self._sent.append(now)
+        if accepted >= len(call.orders):
+            return None
+        self.dropped += 1
+        self._return(call.orders[accepted + 1 :])
+        return call.orders[accepted]
+
+    def unsure(self, now: float, carried: bool) -> None:
+        """No answer that can be read. carried: it may have been carried out."""
+        call = self._end()
+        self.unsure_calls += 1
+        if carried:
+            self._sent.append(now)
+        self._return(call.orders)
+
+    def invalid(self) -> bool:
+        """Turned away as no call. True: its orders are given up, so that they don't block all others."""
+        call = self._end()
+        self._invalid += 1
+        if self._invalid < INVALID_MOST:
+            self._return(call.orders)
+            return False
+        self._invalid = 0
+        self.dropped += len(call.orders)
+        return True
+
+    def restore(self) -> None:
+        """Turned away for now: all waits on."""
+        self._return(self._end().orders)
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a call's answer says: accepted orders, or the error's name; neither: it can't be read."""
+
+    accepted: int | None = None
+    error: str = ""
+
+
+def read_answer(status: int | None, body: bytes, sent: int) -> Answer:
+    try:
+        tree = json.loads(body)
+    except (ValueError, RecursionError):
+        return Answer()
+    if not isinstance(tree, dict):
+        return Answer()
+    accepted = tree.get("accepted")
+    if isinstance(accepted, int) and not isinstance(accepted, bool):
+        return Answer(accepted) if 0 <= accepted <= sent and status == 200 else Answer()
+    error = tree.get("error")
+    if isinstance(error, dict):
+        error = error.get("code") or error.get("reason") or error.get("name")
+    return Answer(error=error) if isinstance(error, str) else Answer()
--- /dev/null
+++ b/puffintide/node/service.py
@@ -0,0 +1,400 @@
+"""One real assigner: wires the parts to the runtime that holds the module. It decides nothing."""
+
+from __future__ import annotations
+
+import gc
+import json
+import os
+import resource
+import time
+from collections.abc import Callable
+from typing import Any
+
+from puffintide import interface as api
+from puffintide.assigner.runtime import Effects, Runtime
+from puffintide.node import messages as m
+from puffintide.node import relay
+from puffintide.node.calls import Caller
+from puffintide.node.config import Address, Config, ConfigError, address, load
+from puffintide.node.listener import Listener
+from puffintide.node.names import Hosts
+from puffintide.node.probe import Prober
+from puffintide.node.standing import Changes, Standing
+from puffintide.node.watch import Watch
+from puffintide.policy import Director
+from puffintide.wire.messages import Charge, Held
+from puffintide.wire.messages import News as ListNews
+
+EPOCH_S = 1e6  # added to the monotonic clock: times before the machine started are still above 0
+TICK_S = 0.004  # what comes in within so long is one batch
+SETTLE_S = 0.15  # after so long without a line, what stands at the relay has been told
+GIVEN_S = 0.03  # and the lines of a slice just given
+READY_S = 3.0  # after so long without news of the relay, signs of life are given all the same
+LIST_SILENT_S = 3.5  # discovery writes at least every 2 s
+NEWS_SILENT_S = 3.0  # and the relay every second
+STATS_S = 5.0
+FORGET_S = 20.0
+RECOVER_S = 0.25  # pause of the module's rounds after one that failed
+TOLD_S = 2.0  # a line sent so lately may not be in what stands yet
+RESERVE = 96  # descriptors for discovery, relay, probes, collectors and the process itself
+
+
+class Service:
+    def __init__(self, reactor: Any, config: Config, path: str, log: Callable[..., None]) -> None:
+        self.reactor, self.config, self.path, self.log = reactor, config, path, log
+        self.settings, self.names = config.settings, config.names
+        self.hosts = Hosts()
+        self.runtime = Runtime(self.settings)
+        self.outbox = relay.Outbox(self.settings.messages_most, self.settings.messages_span_s)
+        self.standing = Standing()
+        self.caller = Caller(reactor, config.relay, self.outbox, log)
+        room = max(16, min(config.sockets - RESERVE - self.settings.slices // 4, 400))
+        self.listener = Listener(reactor, self.names.zones, self._report, log, room)
+        self.news_watch = Watch(
+            reactor, config.relay, lambda: "/api/watch", self._news_opened, self._news, self._news_lost,
+            NEWS_SILENT_S,
+        )  # fmt: skip
+        self.list_watch = Watch(
+            reactor, config.discovery, self._list_target, self._list_opened, self._members, self._list_lost,
+            LIST_SILENT_S,
+        )  # fmt: skip
+        self.version = 0
+        self.probers: dict[int, Prober] = {}
+        self._to_probe: list[int] = []
+        self._tick_at: Any = None
+        self._settle_at: Any = None
+        self._settled_once = False
+        self._sent: dict[relay.Key, float] = {}  # lines handed to the outbox lately
+        self._stopping = False
+        self.rounds = 0
+        self.round_most_s = self.round_cpu_s = self.late_most_s = 0.0
+        self.reports = {"heard": 0, "heat": 0}
+
+    def now(self) -> float:
+        return float(self.reactor.seconds()) + EPOCH_S
+
+    # Start and end ------------------------------------------------------------------------------
+
+    def start(self) -> None:
+        host, port = self.config.listen
+        self.reactor.listenTCP(port, self.listener, backlog=512, interface=host)
+        self.listener.start()
+        if self.config.known is not None:
+            self._take_members(json.dumps(self.config.known).encode(), known=True)
+        self.list_watch.start()
+        self.news_watch.start()
+        self.reactor.callLater(READY_S, self._serve)
+        self.reactor.callLater(STATS_S, self._stats)
+        self.reactor.callLater(FORGET_S, self._forget)
+        self._schedule(0.0)
+        gc.collect()
+        gc.freeze()
+        self.log("started", listen=f"{host}:{port}", pid=os.getpid(), slices=self.settings.slices)
+
+    def _serve(self) -> None:
+        if not self.listener.ready:
+            self.log("serving", listed=self.runtime.listed, news=self._settled_once)
+            self.listener.serve()
+
+    def reload(self) -> None:
+        """SIGHUP. A file that can't be used leaves what is in force."""
+        try:
+            new = load(self.path)
+        except ConfigError as error:
+            self.log("reload_refused", reason=str(error))
+            return
+        if new.listen != self.config.listen:
+            self.log("reload_ignored", key="listen", reason="the address stays until a restart")
+        self.config = new
+        self.log("reloaded", discovery=str(new.discovery), relay=str(new.relay))
+        self._move(new.discovery, new.relay)
+
+    def _move(self, discovery: Address, store: Address) -> None:
+        self.caller.address = store
+        self.news_watch.move(store)
+        self.list_watch.move(discovery)
+
+    def stop(self) -> None:
+        """SIGTERM. A call in hand is let end, as that costs no time."""
+        if self._stopping:
+            return
+        self._stopping = True
+        self.log("stopping", waiting=len(self.outbox))
+        self.reactor.callLater(0.2 if self.outbox.busy else 0.0, self.reactor.stop)
+
+    # Discovery ----------------------------------------------------------------------------------
+
+    def _list_target(self) -> str:
+        return f"/catalog/members?follow=1&since={self.version}"
+
+    def _list_opened(self) -> None:
+        self.log("list_watch", since=self.version)
+
+    def _list_lost(self, why: str) -> None:
+        self.log("list_watch_lost", reason=why)
+
+    def _members(self, line: bytes) -> None:
+        if line.strip():
+            self._take_members(line)
+
+    def _take_members(self, text: bytes, known: bool = False) -> None:
+        try:
+            told = m.read_members(text, self.names, self.hosts, time.time() * 1000)
+        except (m.Spoilt, m.Unreadable) as error:
+            self.log("list_refused", reason=str(error))
+            return
+        if not told.whole and not known and told.seq <= self.version:
+            return
+        kind = "cached" if known else "full" if told.whole and not told.bad else "delta"
+        if kind == "delta" and not told.entries and not told.bad:
+            return
+        news = ListNews(kind, told.seq, told.entries)
+        for reason in [*told.bad, *self.runtime.news(self.now(), news)][:5]:
+            self.log("entry_refused", reason=reason)
+        self.version = told.seq
+        for number in sorted(self.probers.keys() - self.runtime.entries.keys()):
+            self.probers.pop(number).stop()
+        states = {self.hosts.name(e.id): e.state for e in told.entries if e.state != api.READY}
+        self.log("list", kind=kind, version=told.seq, entries=len(told.entries), states=states)
+        self._schedule()
+
+    # The relay's news ---------------------------------------------------------------------------
+
+    def _news_opened(self) -> None:
+        self.log("news_watch")
+        self.standing.opened()
+        self._settle_in(SETTLE_S)
+
+    def _news_lost(self, why: str) -> None:
+        self.log("news_watch_lost", reason=why)
+        if self.standing.unsettled:
+            self._settle_stop()
+
+    def _news(self, line: bytes) -> None:
+        try:
+            news = m.read_news(line)
+        except (m.Spoilt, m.Unreadable) as error:
+            self.log("news_refused", reason=str(error))
+            return
+        if news is None:
+            if self.standing.unsettled:
+                self._settled()
+            return
+        self._changes(self.standing.hear(news))
+        if self.standing.unsettled:
+            self._settle_in(SETTLE_S if self.standing.opening else GIVEN_S)
+
+    def _settle_in(self, after_s: float) -> None:
+        self._settle_stop()
+        self._settle_at = self.reactor.callLater(after_s, self._settled)
+
+    def _settle_stop(self) -> None:
+        if self._settle_at is not None and self._settle_at.active():
+            self._settle_at.cancel()
+
+    def _settled(self) -> None:
+        self._settle_stop()
+        changes = self.standing.settled()
+        if not self._settled_once:
+            self._settled_once = True
+            self.reactor.callLater(0, self._serve)
+        self._changes(changes)
+
+    def _changes(self, changes: Changes) -> None:
+        if not changes:
+            return
+        now = self.now()
+        for number in changes.left:
+            self.runtime.left(now, number)
+        for row in changes.joined:
+            zone = self.names.zones.get(row.az)
+            if zone is None:
+                self.log("news_refused", reason=f"zone {row.az[:40]!r} of proxy {row.sidecar}")
+                continue
+            self.runtime.joined(now, row.sidecar, zone, row.share, row.standing)
+        for number in changes.taken:
+            self.outbox.void(number)
+            self.runtime.taken(now, number)
+        for number, table in sorted(changes.given.items()):
+            self._given(now, number, table)
+        for number, table in sorted(changes.again.items()):
+            self._compare(now, number, table)
+        for news in changes.applied:
+            self.runtime.hear(now, api.Applied(news.sidecar, news.version, max(0.0, news.lag_ms / m.MS)))
+        if changes.taken or changes.given or len(changes.joined) > 1:
+            self.log(
+                "standing",
+                taken=len(changes.taken), given=len(changes.given), again=len(changes.again),
+                proxies=len(self.standing.proxies), slices=len(self.standing.slices),
+            )  # fmt: skip
+        self._schedule()
+
+    def _given(self, now: float, number: int, table: dict[str, float]) -> None:
+        self.outbox.void(number)
+        lines = [Held(self.hosts.number(host), share) for host, share in sorted(table.items())]
+        self.runtime.charge(now, Charge(number, 1, self.settings.instance, lines))
+
+    def _compare(self, now: float, number: int, table: dict[str, float]) -> None:
+        """A slice that was ours before this watch and is ours still. What waits to be sent again is ours to say;
+        where the store differs otherwise, another has had the slice meanwhile, and its table is read anew."""
+        stored = {self.hosts.number(host): share for host, share in table.items() if share > 0}
+        decider = self.runtime.decider
+        view = decider.slices.get(number) if isinstance(decider, Director) else None
+        believed = view.lines if view is not None else {}
+        differ = {
+            s for s in stored.keys() | believed.keys() if abs(stored.get(s, 0) - believed.get(s, 0)) > 1e-3
+        }
+        late = self.reactor.seconds() - TOLD_S
+        lately = {s for s in differ if self._sent.get(("line", number, s), -1e9) > late}
+        if differ - lately - {s for s in differ if self.outbox.waits(number, s)}:
+            self.log("table_differs", slice=number, stored=len(stored), believed=len(believed))
+            self._given(now, number, table)
+
+    # Collectors and probes ----------------------------------------------------------------------
+
+    def _report(self, message: m.Line) -> None:
+        try:
+            if isinstance(message, m.Heard):
+                event: api.Event = m.load_report(message, self.names, self.hosts)
+                self.reports["heard"] += 1
+            elif isinstance(message, m.Heat):
+                event = m.slice_heat(message, self.names, self.settings.slices)
+                self.reports["heat"] += 1
+            else:
+                return
+        except m.Spoilt as error:
+            self.listener.spoilt(str(error))
+            return
+        self.runtime.hear(self.now(), event)
+        self._schedule()
+
+    def _probe_next(self) -> None:
+        """One in each turn of the reactor, so that answers are read, and timed, in between."""
+        if not self._to_probe or self._stopping:
+            return
+        server = self._to_probe.pop(0)
+        if self._to_probe:
+            self.reactor.callLater(0, self._probe_next)
+        told = self.runtime.addresses.get(server, "")
+        if not told or not self.settings.probes:
+            return
+        try:
+            dial = address(told, "dial")
+        except ConfigError:
+            return
+        prober = self.probers.get(server)
+        if prober is None or prober.address != dial:
+            if prober is not None:
+                prober.stop()
+            target = "/_load" if self.settings.report_names else "/ping"
+
+            def done(status: int, took_s: float, report: dict[str, float]) -> None:
+                self.runtime.hear(
+                    self.now(), api.ProbeResult(server, status, took_s, self.names.values(report))
+                )
+                self._schedule()
+
+            prober = self.probers[server] = Prober(self.reactor, dial, target, done)
+        prober.probe()
+
+    # Ticks --------------------------------------------------------------------------------------
+
+    def _schedule(self, after_s: float = TICK_S) -> None:
+        if self._tick_at is not None and self._tick_at.active():
+            if self._tick_at.getTime() <= self.reactor.seconds() + after_s:
+                return
+            self._tick_at.cancel()
+        self._tick_at = self.reactor.callLater(after_s, self._tick)
+
+    def _tick(self) -> None:
+        began, cpu = self.now(), time.process_time()
+        due = self.runtime.next_timer()
+        if due is not None and due <= began:
+            self.late_most_s = max(self.late_most_s, began - due)
+        try:
+            effects = self.runtime.tick(began)
+            if effects is not None:
+                self._act(effects)
+        except Exception as error:  # a round that failed must not be the last one
+            self.log("round_failed", error=f"{type(error).__name__}: {error}", place=place(error))
+            self.reactor.callLater(RECOVER_S, self._recover)
+        self.round_most_s = max(self.round_most_s, self.now() - began)
+        self.round_cpu_s += time.process_time() - cpu
+        timer = self.runtime.next_timer()
+        if self.runtime.busy():
+            self._schedule()
+        elif timer is not None:
+            self._schedule(max(0.001, timer - self.now()))
+
+    def _recover(self) -> None:
+        self.runtime.hear(self.now(), api.TimerDue(0))
+        self._schedule()
+
+    def _act(self, effects: Effects) -> None:
+        self.rounds += 1
+        if effects.actions:
+            orders, wrong = relay.orders(effects.actions, self.names, self.hosts.name, self.runtime.tokens)
+            for reason in wrong:
+                self.log("order_unsaid", reason=reason)
+            if orders:
+                now = self.reactor.seconds()
+                self._sent.update((o.key, now) for o in orders if o.key[0] == "line")
+                self.outbox.put(orders)
+                self.caller.kick()
+                self.log(
+                    "decision", orders=len(orders), proxies=len(self.runtime.proxies),
+                    withdrawals=[o.text.decode() for o in orders if o.key[0] == "server"][:5],
+                    after_ms=round((self.now() - effects.heard_at) * 1000, 2),
+                )  # fmt: skip
+        if effects.probes:
+            idle = not self._to_probe
+            self._to_probe += effects.probes
+            if idle:
+                self.reactor.callLater(0, self._probe_next)
+        for text in effects.logs:
+            self.log("module", text=text)
+
+    # Upkeep -------------------------------------------------------------------------------------
+
+    def _forget(self) -> None:
+        """What the module has forgotten is forgotten here."""
+        self.reactor.callLater(FORGET_S, self._forget)
+        decider = self.runtime.decider
+        kept = set(self.runtime.entries)
+        if isinstance(decider, Director):
+            kept |= decider.servers.keys()
+            for view in decider.slices.values():
+                kept |= view.lines.keys()
+        self.hosts.keep(kept)
+        late = self.reactor.seconds() - TOLD_S
+        self._sent = {k: at for k, at in self._sent.items() if at > late}
+
+    def _stats(self) -> None:
+        self.reactor.callLater(STATS_S, self._stats)
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        self.log(
+            "stats",
+            cpu_s=round(usage.ru_utime + usage.ru_stime, 2), round_cpu_s=round(self.round_cpu_s, 2),
+            rss_mb=round(rss_mb(), 1), descriptors=len(os.listdir("/proc/self/fd")),
+            rounds=self.rounds, round_most_ms=round(self.round_most_s * 1000, 1),
+            late_most_ms=round(self.late_most_s * 1000, 1),
+            proxies=len(self.runtime.proxies), slices=len(self.runtime.tokens),
+            servers=len(self.runtime.entries), hosts=len(self.hosts), probers=len(self.probers),
+            reports=dict(self.reports), peers=dict(self.listener.counts),
+            calls=self.caller.calls, unsure=self.outbox.unsure_calls, waiting=len(self.outbox),
+            call_most_ms=round(self.caller.took_most_s * 1000, 1), stray=self.standing.stray,
+        )  # fmt: skip
+        self.round_most_s = self.late_most_s = self.caller.took_most_s = 0.0
+
+
+def rss_mb() -> float:
+    with open("/proc/self/statm", encoding="ascii") as statm:
+        return int(statm.read().split()[1]) * resource.getpagesize() / 1e6
+
+
+def place(error: BaseException) -> str:
+    """Where it was raised."""
+    tb = error.__traceback__
+    while tb is not None and tb.tb_next is not None:
+        tb = tb.tb_next
+    return f"{os.path.basename(tb.tb_frame.f_code.co_filename)}:{tb.tb_lineno}" if tb is not None else "?"
--- a/puffintide/drill/settings.py
+++ b/puffintide/settings.py
@@ -1,4 +1,7 @@
-"""The settings of the drill's first message, as the interface's Settings. Unknown keys are skipped."""
+"""The settings that an instance is started with, as the interface's Settings. Unknown keys are skipped.
+
+The drill has them in its first message, the node in its configuration.
+"""
 
 from __future__ import annotations
 
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -11,7 +11,7 @@
 from puffintide import interface as api
 from puffintide.drill.__main__ import Host, serve
 from puffintide.drill.codec import Decoder, WireError, encode_action, frame
-from puffintide.drill.settings import SettingsError, parse_settings
+from puffintide.settings import SettingsError, parse_settings
 
 CONF = {
     "balancers": 1,
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -13,8 +13,8 @@
 from puffintide.assigner.runtime import Runtime
 from puffintide.drill.__main__ import Host
 from puffintide.drill.codec import encode_action, frame
-from puffintide.drill.settings import parse_settings
 from puffintide.policy import Director
+from puffintide.settings import parse_settings
 from puffintide.wire import messages as m
 from tests.test_drill import CONF, hello
 from tests.world import World, settings
