--- a/puffintide/node/messages.py
+++ b/puffintide/node/messages.py
@@ -82,7 +82,7 @@
 
 
 def _counts(n: int, bad: int, window: float) -> None:
-    if not 0 <= bad <= n <= COUNT_MOST:
+    if not (0 <= n <= COUNT_MOST and 0 <= bad <= COUNT_MOST):
         raise Spoilt(f"{bad} bad of {n}")
     if not 0 < window <= SPAN_MOST * MS:
         raise Spoilt(f"window of {window:g} ms")
@@ -91,6 +91,8 @@
 def load_report(m: Heard, names: Names, hosts: Hosts) -> api.LoadReport:
     """Raises Spoilt."""
     _counts(m.n, m.bad, m.window)
+    if m.bad > m.n:
+        raise Spoilt(f"{m.bad} bad of {m.n}")
     zone = names.zones.get(m.az)
     if zone is None:
         raise Spoilt(f"zone {m.az[:40]!r} is not in the settings")
@@ -104,7 +106,7 @@
 
 
 def slice_heat(m: Heat, names: Names, slices: int) -> api.SliceHeat:
-    """Raises Spoilt."""
+    """Raises Spoilt. What got no answer in a window may have come in an earlier one: bad may be above n."""
     _counts(m.n, m.bad, m.window)
     request_class = names.classes.get(m.kind)
     if request_class is None:
--- a/puffintide/node/probe.py
+++ b/puffintide/node/probe.py
@@ -13,6 +13,7 @@
 from puffintide.node.names import parse_text_report
 
 # A task that is well answers in tens of milliseconds; the module asks again after twice this.
+# Who is turned away at the door hears so at once; a 503 later than half of this is of a task that gave the wait up.
 TIMEOUT_S = 0.4
 BODY_MOST = 16 * 1024
 ANSWERED, ERROR, TURNED_AWAY, TIMED_OUT, UNREACHABLE, BROKEN_OFF = range(6)
@@ -99,8 +100,13 @@
     def answered(self, status: int, body: bytes) -> None:
         if status == 200:
             self.end(ANSWERED, parse_text_report(body.decode("ascii", "replace")))
+        elif status == 503:
+            self.end(TURNED_AWAY if self.took() < TIMEOUT_S / 2 else TIMED_OUT)
         else:
-            self.end(TURNED_AWAY if status == 503 else ERROR)
+            self.end(ERROR)
+
+    def took(self) -> float:
+        return 0.0 if self.since is None else float(self.reactor.seconds() - self.since)
 
     def _late(self) -> None:
         link = self.link
@@ -112,7 +118,7 @@
     def end(self, status: int, report: dict[str, float] | None = None) -> None:
         if self.since is None:
             return  # a kept connection ended, or an answer nobody waits for
-        took, self.since = self.reactor.seconds() - self.since, None
+        took, self.since = self.took(), None
         if self._timer.active():
             self._timer.cancel()
         self.done(status, took, report or {})
--- a/puffintide/node/service.py
+++ b/puffintide/node/service.py
@@ -64,6 +64,9 @@
         self._tick_at: Any = None
         self._settle_at: Any = None
         self._settled_once = False
+        # No proxy has joined yet: the platform's tasks answer probes without the work that they take in service,
+        # which would make all later answers look slow.
+        self.in_service = False
         self._sent: dict[relay.Key, float] = {}  # lines handed to the outbox lately
         self._stopping = False
         self.rounds = 0
@@ -212,6 +215,7 @@
                 self.log("news_refused", reason=f"zone {row.az[:40]!r} of proxy {row.sidecar}")
                 continue
             self.runtime.joined(now, row.sidecar, zone, row.share, row.standing)
+            self.in_service = True
         for number in changes.taken:
             self.outbox.void(number)
             self.runtime.taken(now, number)
@@ -346,7 +350,7 @@
                     withdrawals=[o.text.decode() for o in orders if o.key[0] == "server"][:5],
                     after_ms=round((self.now() - effects.heard_at) * 1000, 2),
                 )  # fmt: skip
-        if effects.probes:
+        if effects.probes and self.in_service:
             idle = not self._to_probe
             self._to_probe += effects.probes
             if idle:
