--- a/puffintide/node/__main__.py
+++ b/puffintide/node/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import signal
 import sys
@@ -46,6 +47,8 @@
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(service.reload))
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: reactor.callFromThread(service.stop))
+    gc.collect()
+    gc.freeze()  # what is loaded stays: the collector need not look at it
     reactor.run(installSignalHandlers=False)
     return 0
 
--- a/puffintide/node/service.py
+++ b/puffintide/node/service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import json
 import os
 import resource
@@ -40,7 +39,15 @@
 
 
 class Service:
-    def __init__(self, reactor: Any, config: Config, path: str, log: Callable[..., None]) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        config: Config,
+        path: str,
+        log: Callable[..., None],
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self.wall = wall
         self.reactor, self.config, self.path, self.log = reactor, config, path, log
         self.settings, self.names = config.settings, config.names
         self.hosts = Hosts()
@@ -90,8 +97,6 @@
         self.reactor.callLater(STATS_S, self._stats)
         self.reactor.callLater(FORGET_S, self._forget)
         self._schedule(0.0)
-        gc.collect()
-        gc.freeze()
         self.log("started", listen=f"{host}:{port}", pid=os.getpid(), slices=self.settings.slices)
 
     def _serve(self) -> None:
@@ -142,7 +147,7 @@
 
     def _take_members(self, text: bytes, known: bool = False) -> None:
         try:
-            told = m.read_members(text, self.names, self.hosts, time.time() * 1000)
+            told = m.read_members(text, self.names, self.hosts, self.wall() * 1000)
         except (m.Spoilt, m.Unreadable) as error:
             self.log("list_refused", reason=str(error))
             return
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,396 @@
+"""The node's pure parts: bytes and messages in, values out."""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Iterator
+from typing import Any
+
+import h11
+import pytest
+
+from puffintide import interface as api
+from puffintide.node import messages as m
+from puffintide.node.config import ConfigError, parse
+from puffintide.node.http import Exchange, Unreadable
+from puffintide.node.lines import Lines, TooLong
+from puffintide.node.log import Log
+from puffintide.node.names import Hosts, Names, draw, parse_text_report
+from puffintide.node.relay import BYTES_MOST, Order, Outbox, orders, read_answer
+from puffintide.node.standing import Changes, Standing
+from tests.test_drill import CONF
+
+NAMES = Names(["a", "b"], ["status", "start"], ["m1", "m2"], ["rif", "busy"])
+SETTINGS = {**CONF, "kinds": ["m1"]}
+CONFIG: dict[str, Any] = {
+    "name": "n0", "listen": "127.0.0.1:3000", "discovery": "127.0.0.2:8500", "seed": "8c1f30d27a5be964",
+    "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "store": {"address": "127.0.0.3:6400"},
+    "known": {"seq": 4, "whole": True, "hosts": []}, "settings": SETTINGS,
+}  # fmt: skip
+
+
+def cuts(data: bytes) -> Iterator[list[bytes]]:
+    """The bytes in two pieces, cut at every position, and one by one."""
+    yield from ([data[:k], data[k:]] for k in range(1, len(data)))
+    yield [data[k : k + 1] for k in range(len(data))]
+
+
+def test_lines_come_whole_however_they_are_cut() -> None:
+    data = b'{"a":1}\n\n{"b":2}\nrest'
+    for pieces in cuts(data):
+        lines = Lines(100)
+        got = [line for piece in pieces for line in lines.feed(piece)]
+        assert got == [b'{"a":1}', b"", b'{"b":2}']
+        assert lines.feed(b"!\n") == [b"rest!"]
+
+
+@pytest.mark.parametrize("pieces", [[b"x" * 11], [b"x" * 6, b"x" * 5], [b"x" * 11 + b"\n"], [b"ok\n" + b"x" * 11]])
+def test_a_line_over_the_limit_is_refused_before_it_is_kept(pieces: list[bytes]) -> None:
+    lines = Lines(10)
+    with pytest.raises(TooLong):
+        for piece in pieces:
+            lines.feed(piece)
+    assert sum(map(len, lines._pieces)) == 0
+
+
+def test_an_answer_is_read_however_it_is_cut() -> None:
+    plain = b'HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{"accepted":2}'
+    for pieces in cuts(plain):
+        exchange = Exchange("h:1", 100)
+        exchange.ask("POST", "/x", b"{}")
+        body = b"".join(p for piece in pieces for p in exchange.receive(piece))
+        assert (exchange.status, body, exchange.done, exchange.reusable) == (200, b'{"accepted":2}', True, True)
+    chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n{}\n\r\n5\r\n{}\n{}\r\n1\r\n\n\r\n"
+    for pieces in cuts(chunked):
+        exchange = Exchange("h:1", 0)
+        exchange.ask("GET", "/x")
+        assert b"".join(p for piece in pieces for p in exchange.receive(piece)) == b"{}\n{}\n{}\n"
+        assert not exchange.done
+
+
+def test_a_kept_connection_asks_again_and_what_is_no_answer_is_told() -> None:
+    exchange = Exchange("h:1", 10)
+    for _ in range(2):
+        request = exchange.ask("GET", "/ping")
+        server = h11.Connection(h11.SERVER)
+        server.receive_data(request)
+        assert isinstance(server.next_event(), h11.Request)
+        exchange.receive(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+        assert exchange.status == 503 and exchange.done
+    for bad in (b"garbage\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n" + b"x" * 11):
+        fresh = Exchange("h:1", 10)
+        fresh.ask("GET", "/ping")
+        with pytest.raises(Unreadable):
+            fresh.receive(bad)
+
+
+def test_a_host_has_one_number_whatever_was_heard_before_it() -> None:
+    one, other = Hosts(), Hosts()
+    names = [f"s-{k:08x}" for k in range(300)]
+    numbers = [one.number(n) for n in names]
+    assert [other.number(n) for n in reversed(names)] == numbers[::-1]
+    assert len(set(numbers)) == 300 and all(0 <= n < 2**31 for n in numbers)
+    assert draw("s-5be2a07c") == 1889148158  # and so at every assigner, at any time
+
+
+def test_two_hosts_on_one_number_are_told_apart(monkeypatch: pytest.MonkeyPatch) -> None:
+    real = draw
+    monkeypatch.setattr("puffintide.node.names.draw", lambda host, salt=0: real(host, salt) if salt else 7)
+    hosts = Hosts()
+    assert hosts.number("x") == 7 and hosts.number("y") != 7
+    assert hosts.clashes == 1 and hosts.name(hosts.number("y")) == "y"
+
+
+def test_hosts_that_the_module_forgot_are_forgotten() -> None:
+    hosts = Hosts()
+    kept = hosts.number("a")
+    for k in range(100):
+        hosts.number(f"gone-{k}")
+    hosts.keep([kept])
+    assert len(hosts) == 1 and hosts.name(kept) == "a" and hosts.known("gone-1") is None
+
+
+def test_load_reports_go_by_the_settings_order_under_either_name() -> None:
+    assert NAMES.values({"inflight": 7, "util": 0.5}) == (7.0, 0.5)
+    assert NAMES.values({"rif": 7, "busy": 0.5}) == (7.0, 0.5)
+    first, second = NAMES.values({"util": 0.25, "inflight": "x"})
+    assert math.isnan(first) and second == 0.25
+    for nothing in (None, {}, {"queue": 1}, {"inflight": True, "util": -1}):
+        assert NAMES.values(nothing) == ()
+
+
+def test_a_tasks_own_report() -> None:
+    assert parse_text_report("TEXT inflight=7, queue=2, util=0.61\n") == {"inflight": 7, "queue": 2, "util": 0.61}
+    assert parse_text_report("TEXT inflight=7, queue=x, =, util") == {"inflight": 7}
+    assert parse_text_report("TEXT inflight=7, inflight=8, util=1") == {"util": 1}
+    assert parse_text_report("<html>") == {} and parse_text_report("") == {}
+
+
+GOOD = {"msg": "heard", "az": "a", "host": "s-1", "n": 4, "bad": 1, "avg": 50.0, "window": 500.0,
+        "report": {"inflight": 3, "util": 0.5}}  # fmt: skip
+
+
+def heard(**changes: Any) -> api.LoadReport:
+    hosts = Hosts()
+    hosts.number("s-1")
+    row = {k: v for k, v in (GOOD | changes).items() if v is not ...}
+    line = m.read_line(json.dumps(row).encode())
+    assert isinstance(line, m.Heard)
+    return m.load_report(line, NAMES, hosts)
+
+
+def test_reports_in_seconds_and_numbers() -> None:
+    assert heard() == api.LoadReport(0, draw("s-1"), 4, 1, 0.05, 0.5, (3.0, 0.5))
+    assert heard(report=..., avg=...).values == ()
+    heat = m.read_line(b'{"msg":"heat","partition":3,"kind":"start","n":2,"bad":5,"window":500}')
+    assert isinstance(heat, m.Heat)
+    assert m.slice_heat(heat, NAMES, 4) == api.SliceHeat(3, 1, 2, 5, 0.5)  # unanswered ones came earlier
+    with pytest.raises(m.Spoilt):
+        m.slice_heat(heat, NAMES, 3)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"n": ...}, {"host": ...}, {"az": "z"}, {"az": 5}, {"host": "s-unheard"}, {"host": None}, {"n": -1},
+        {"bad": 5}, {"bad": -1}, {"n": "4"}, {"n": 1e300}, {"n": 10**30}, {"window": 0}, {"window": -5},
+        {"window": 1e300}, {"avg": -1}, {"avg": 1e300}, {"avg": math.nan}, {"window": math.inf}, {"report": 5},
+        {"msg": "unheard of"}, {"msg": 5}, {"msg": ...},
+    ],
+)  # fmt: skip
+def test_spoilt_reports_are_passed_over(changes: dict[str, Any]) -> None:
+    with pytest.raises(m.Spoilt):
+        heard(**changes)
+
+
+@pytest.mark.parametrize("line", [b"GET / HTTP/1.1", b"{", b"\xff\xfe", b'{"msg":"ping"', b"[" * 5000, b'"a'])
+def test_what_is_no_message_ends_the_connection(line: bytes) -> None:
+    with pytest.raises(m.Unreadable):
+        m.read_line(line)
+
+
+def member(**changes: Any) -> dict[str, Any]:
+    row = {"host": "s-1", "dial": "127.0.0.1:1", "site": "a", "class": "m2", "block": 3, "health": "active",
+           "share": 1.5, "born_ms": 0}  # fmt: skip
+    return row | changes
+
+
+def test_one_bad_entry_does_not_spoil_the_list() -> None:
+    rows = [member(), member(host="s-2", site="z"), member(host="s-3", health="odd"), {"host": 5}, 7,
+            member(host="s-4", health="left", site="?"), member(host="s-5", born_ms=60_000, health="leaving")]  # fmt: skip
+    hosts = Hosts()
+    told = m.read_members(json.dumps({"seq": 9, "whole": True, "hosts": rows}).encode(), NAMES, hosts, 62_500.0)
+    assert (told.seq, told.whole, len(told.bad)) == (9, True, 4)
+    first, gone, young = told.entries
+    assert (first.zone, first.kind, first.state, first.weight, first.age_s) == (0, 1, api.READY, 1.5, -1.0)
+    assert gone.state == api.GONE and (young.state, young.age_s, young.start) == (api.DRAINING, 2.5, 60_000)
+
+
+def test_orders_by_the_platforms_words() -> None:
+    hosts = Hosts()
+    s = hosts.number("s-1")
+    actions = [
+        api.Withdraw(s, True), api.Withdraw(s, False), api.SetLine(2, s, 1.5), api.SetLine(2, s, 0.0),
+        api.SetLine(3, s, 1.0), api.SetLine(2, 99, 1.0), api.Admit(api.ALL_TABLES, 0, 1.0, 1),
+        api.Admit(2, 2, 0.25, 0), api.Mark(77), api.Probe(s), api.Log("x"),
+    ]  # fmt: skip
+    made, wrong = orders(actions, NAMES, hosts.name, [2])
+    assert [json.loads(o.text) for o in made] == [
+        {"do": "OUT", "host": "s-1"},
+        {"do": "IN", "host": "s-1"},
+        {"do": "SET", "group": 2, "host": "s-1", "share": 1.5},
+        {"do": "SET", "group": 2, "host": "s-1", "share": 0.0},
+        {"do": "LIMIT", "gate": 1.0, "again": 1},
+        {"do": "LIMIT", "group": 2, "for": ["start"], "gate": 0.25, "again": 0},
+        {"do": "SYNC", "stamp": 77, "yes": 0},
+    ]
+    assert len(wrong) == 1 and "99" in wrong[0]  # and slice 3 is not in charge
+
+
+def line(server: int, weight: float, table: int = 0, size: int = 0) -> Order:
+    text = json.dumps({"do": "SET", "group": table, "host": f"s-{server}{'x' * size}", "share": weight}).encode()
+    return Order(("line", table, server), text, 1 if weight > 0 else 2)
+
+
+def out(server: int) -> Order:
+    return Order(("server", server, 0), b'{"do":"OUT"}', 0)
+
+
+def sent(outbox: Outbox) -> list[Order]:
+    call = outbox.next()
+    assert [json.loads(o.text) for o in call.orders] == json.loads(call.body)["orders"]
+    assert len(call.body) <= BYTES_MOST
+    return call.orders
+
+
+def test_one_reply_is_one_call_and_calls_do_not_overtake() -> None:
+    box = Outbox()
+    assert box.ready_in(0.0) is None
+    box.put([out(1), line(2, 1.0), line(1, 0.0)])
+    assert box.ready_in(0.0) == 0.0
+    assert [o.key[0] for o in sent(box)] == ["server", "line", "line"]
+    box.put([line(3, 1.0)])
+    assert box.ready_in(0.0) is None  # the first is not answered yet
+    assert box.taken(0.0, 3) is None
+    assert [o.key for o in sent(box)] == [("line", 0, 3)]
+
+
+def test_a_bad_order_is_passed_over_and_the_rest_goes_on() -> None:
+    box = Outbox()
+    box.put([line(1, 1.0), line(2, 1.0), line(3, 1.0)])
+    box.next()
+    bad = box.taken(0.0, 1)
+    assert bad is not None and bad.key == ("line", 0, 2)
+    assert [o.key for o in sent(box)] == [("line", 0, 3)]
+
+
+def test_after_an_unsure_call_the_newest_wish_goes_never_an_older_one() -> None:
+    box = Outbox()
+    box.put([line(1, 1.0), line(2, 1.0)])
+    box.next()
+    box.put([line(1, 0.0), line(4, 1.0)])
+    box.unsure(0.0, carried=True)
+    assert [(o.key[2], json.loads(o.text)["share"]) for o in sent(box)] == [(2, 1.0), (1, 0.0), (4, 1.0)]
+    assert box.taken(0.0, 3) is None and len(box) == 0
+
+
+def test_messages_that_may_have_been_sent_count_to_the_limit() -> None:
+    box = Outbox(messages_most=2, span_s=10.0)
+    for now, carried in ((0.0, True), (1.0, False), (2.0, True)):
+        box.put([line(1, now)])
+        assert box.ready_in(now) == 0.0
+        box.next()
+        box.unsure(now, carried)
+    assert box.ready_in(3.0) == 7.0  # two of three may have been carried out
+    assert box.ready_in(10.5) == 0.0
+
+
+def test_a_reply_over_the_limit_of_bytes_goes_in_parts_that_are_safe_alone() -> None:
+    box = Outbox()
+    box.put([line(1, 0.0), *(line(k, 1.0, k, 400) for k in range(2, 302)), out(1)])
+    ranks: list[int] = []
+    while box.ready_in(0.0) is not None:
+        part = sent(box)
+        ranks += [o.rank for o in part]
+        box.taken(0.0, len(part))
+    assert ranks[0] == 0 and ranks[-1] == 2 and len(ranks) == 302
+
+
+def test_a_call_turned_away_for_now_waits_whole_and_an_invalid_one_blocks_nothing() -> None:
+    box = Outbox(messages_most=1)
+    box.put([line(1, 1.0)])
+    box.next()
+    box.restore()
+    assert box.ready_in(0.0) == 0.0  # no message was written
+    for _ in range(2):
+        box.next()
+        assert not box.invalid()
+    box.next()
+    assert box.invalid() and len(box) == 0
+
+
+def test_what_waits_for_a_slice_that_was_taken_is_void() -> None:
+    box = Outbox()
+    box.put([line(1, 1.0, 5), line(1, 1.0, 6), out(5)])
+    box.void(5)
+    assert [o.key for o in sent(box)] == [("line", 6, 1), ("server", 5, 0)]
+    assert box.waits(6, 1) and not box.waits(5, 1)
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "accepted", "error"),
+    [
+        (200, b'{"accepted":2}', 2, ""), (200, b'{"accepted":0}', 0, ""), (200, b'{"accepted":4}', None, ""),
+        (200, b'{"accepted":-1}', None, ""), (200, b'{"accepted":true}', None, ""), (200, b'{"accepted":"2"}', None, ""),
+        (200, b"{", None, ""), (200, b"[]", None, ""), (200, b"", None, ""), (500, b'{"accepted":2}', None, ""),
+        (429, b'{"error":"throttled"}', None, "throttled"), (503, b'{"error":{"code":"throttled"}}', None, "throttled"),
+    ],
+)  # fmt: skip
+def test_answers_of_the_relay(status: int, body: bytes, accepted: int | None, error: str) -> None:
+    answer = read_answer(status, body, 3)
+    assert (answer.accepted, answer.error) == (accepted, error)
+
+
+def news(kind: str, **fields: Any) -> m.News:
+    told = m.read_news(json.dumps({"type": kind, "object": fields}).encode())
+    assert told is not None
+    return told
+
+
+def stands(standing: Standing, proxies: list[int], tables: dict[int, str]) -> Changes:
+    """A watch that tells what stands, and its end."""
+    standing.opened()
+    for p in proxies:
+        assert not standing.hear(news("joined", sidecar=p, az="a", share=1.0, standing=False))
+    for s in tables:
+        assert not standing.hear(news("given", partition=s, yes=True))
+    for s, host in tables.items():
+        assert not standing.hear(news("held", partition=s, host=host, share=1.0))
+    return standing.settled()
+
+
+def test_what_stands_is_told_when_it_is_whole() -> None:
+    standing = Standing()
+    told = stands(standing, [1, 2], {7: "s-1"})
+    assert [j.sidecar for j in told.joined] == [1, 2] and told.given == {7: {"s-1": 1.0}}
+    assert m.read_news(b"{}") is None and m.read_news(b'{"type":"new kind","object":{}}') is None
+
+
+def test_a_second_watch_is_compared_with_what_is_known() -> None:
+    standing = Standing()
+    stands(standing, [1, 2], {7: "s-1", 8: "s-1"})
+    told = stands(standing, [2, 3], {8: "s-2", 9: "s-3"})
+    assert (told.left, [j.sidecar for j in told.joined], told.taken) == ([1], [3], [7])
+    assert told.given == {9: {"s-3": 1.0}} and told.again == {8: {"s-2": 1.0}}
+    assert standing.slices == {8, 9} and standing.proxies.keys() == {2, 3}
+
+
+def test_slices_given_later_come_with_their_lines() -> None:
+    standing = Standing()
+    stands(standing, [1], {})
+    assert not standing.hear(news("given", partition=4, yes=True)) and standing.unsettled
+    standing.hear(news("held", partition=4, host="s-9", share=2.0))
+    assert standing.settled().given == {4: {"s-9": 2.0}} and not standing.unsettled
+    assert standing.hear(news("given", partition=4, yes=False)).taken == [4]
+    assert standing.hear(news("left", sidecar=1)).left == [1]
+    assert not standing.hear(news("left", sidecar=1))  # told twice
+
+
+def test_a_configuration_is_read_with_its_settings() -> None:
+    config = parse(json.dumps(CONFIG).encode())
+    assert (config.listen, config.discovery, config.relay) == (
+        ("127.0.0.1", 3000), ("127.0.0.2", 8500), ("127.0.0.3", 6400),
+    )  # fmt: skip
+    assert config.sockets == 256 and config.settings.seed == 0x8C1F30D27A5BE964
+    assert config.names.zones == {"a": 0} and config.settings.drain_grace_s == 3.0
+
+
+@pytest.mark.parametrize(
+    ("changes", "key"),
+    [
+        ({"listen": "127.0.0.1"}, "listen"), ({"listen": ...}, "listen"), ({"discovery": "h:0"}, "discovery"),
+        ({"store": {}}, "store.address"), ({"store": 5}, "store"), ({"settings": []}, "settings"),
+        ({"settings": {}}, "settings: setting classes"), ({"seed": "xyz"}, "seed"),
+        ({"limits": {"sockets": 0}}, "limits.sockets"), ({"settings": {**SETTINGS, "zones": [1]}}, "settings"),
+    ],
+)  # fmt: skip
+def test_a_bad_configuration_is_refused_by_its_key(changes: dict[str, Any], key: str) -> None:
+    tree = {k: v for k, v in (CONFIG | changes).items() if v is not ...}
+    with pytest.raises(ConfigError, match=key):
+        parse(json.dumps(tree).encode())
+    for text in (b"", b"{", b"[]", b"\xff"):
+        with pytest.raises(ConfigError):
+            parse(text)
+
+
+def test_the_log_is_bounded_and_says_what_it_left_out() -> None:
+    rows: list[str] = []
+    now = [0.0]
+    log = Log("n0", rows.append, lambda: now[0], lambda: 1.0)
+    for k in range(1000):
+        log("spoilt", k=k)
+    assert len(rows) < 30
+    now[0] = 10.0
+    log("spoilt", k=1000)
+    assert json.loads(rows[-1])["skipped"] > 900
