Node: an order not accepted is sent once more; what is no JSON is told from a spoilt message

Tests of the node found: a line whose first fault is one of type was taken for a message though it went on with what is no JSON (messages._decode); one answer with too low a count would have dropped an order for good (relay.Outbox.taken).

--- a/puffintide/node/messages.py
+++ b/puffintide/node/messages.py
@@ -64,12 +64,10 @@
 def _decode(decoder: Any, line: bytes) -> Any:
     try:
         return decoder.decode(line)
-    except msgspec.ValidationError as error:
-        raise Spoilt(str(error)) from None
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         reason = str(error)
-    try:
-        json.loads(line)  # numbers that JSON does not have, in a message that is otherwise one
+    try:  # the decoder stops at the first fault; this one reads on, and takes numbers that JSON does not have
+        json.loads(line)
     except (ValueError, RecursionError):
         raise Unreadable(reason) from None
     raise Spoilt(reason)
--- a/puffintide/node/relay.py
+++ b/puffintide/node/relay.py
@@ -87,6 +87,7 @@
     _out: Call | None = None
     _sent: deque[float] = field(default_factory=deque)  # calls that were or may have been carried out
     _invalid: int = 0
+    _doubted: set[Key] = field(default_factory=set)  # orders that were once not accepted
     unsure_calls: int = 0
     dropped: int = 0
 
@@ -147,16 +148,25 @@
         return call
 
     def taken(self, now: float, accepted: int) -> Order | None:
-        """The answer. The order after the last accepted is bad: it is given back, and passed over."""
+        """The answer. The order after the last accepted is bad: the rest goes on without it. It is sent once more,
+        last, as an answer may be wrong in ways that can be read; not accepted again, it is passed over and given
+        back."""
         call = self._end()
         self._invalid = 0
         if accepted > 0:
             self._sent.append(now)
+            self._doubted.difference_update(o.key for o in call.orders[:accepted])
         if accepted >= len(call.orders):
             return None
+        bad, rest = call.orders[accepted], call.orders[accepted + 1 :]
+        if bad.key not in self._doubted:
+            self._doubted.add(bad.key)
+            self._return([*rest, bad])
+            return None
+        self._doubted.discard(bad.key)
         self.dropped += 1
-        self._return(call.orders[accepted + 1 :])
-        return call.orders[accepted]
+        self._return(rest)
+        return bad
 
     def unsure(self, now: float, carried: bool) -> None:
         """No answer that can be read. carried: it may have been carried out."""
