--- a/puffintide/node/probe.py
+++ b/puffintide/node/probe.py
@@ -28,13 +28,16 @@
         self.exchange = Exchange(f"{owner.address[0]}:{owner.address[1]}", BODY_MOST)
         self.body: list[bytes] = []
         self.open = self.ended = False
+        self.asked = 0  # requests made, and whether anything of the answer to the last has come
+        self.heard = False
         factory = ClientFactory.forProtocol(lambda: self)
         factory.noisy = False
         factory.clientConnectionFailed = lambda *_: self._lost(UNREACHABLE)  # type: ignore[attr-defined]
         owner.reactor.connectTCP(*owner.address, factory, timeout=TIMEOUT_S + 1)
 
     def ask(self) -> None:
-        self.body = []
+        self.body, self.heard = [], False
+        self.asked += 1
         self.transport.write(self.exchange.ask("GET", self.owner.target))
 
     def connectionMade(self) -> None:
@@ -48,6 +51,7 @@
     def dataReceived(self, data: bytes) -> None:
         if self.ended:
             return
+        self.heard = True
         try:
             self.body += self.exchange.receive(data)
         except Unreadable:
@@ -75,7 +79,10 @@
             self.ended = True
             if self.owner.link is self:
                 self.owner.link = None
-            self.owner.end(status)
+            if status == BROKEN_OFF and self.asked > 1 and not self.heard:
+                self.owner.dial()
+            else:
+                self.owner.end(status)
 
 
 class Prober:
@@ -97,6 +104,12 @@
         else:
             self.link.ask()
 
+    def dial(self) -> None:
+        """A kept connection was closed on us before it was used: tells nothing of the task. The same probe, within
+        the same time, goes by a new one."""
+        if self.since is not None:
+            self.link = _Link(self)
+
     def answered(self, status: int, body: bytes) -> None:
         if status == 200:
             self.end(ANSWERED, parse_text_report(body.decode("ascii", "replace")))
--- a/puffintide/node/service.py
+++ b/puffintide/node/service.py
@@ -35,7 +35,8 @@
 FORGET_S = 20.0
 RECOVER_S = 0.25  # pause of the module's rounds after one that failed
 TOLD_S = 2.0  # a line sent so lately may not be in what stands yet
-RESERVE = 96  # descriptors for discovery, relay, probes, collectors and the process itself
+RESERVE = 64  # descriptors for discovery, relay, collectors and the process itself, beside those for probes
+STRANGERS_MOST = 400  # more cost memory, and none of them is owed a second
 
 
 class Service:
@@ -55,7 +56,8 @@
         self.outbox = relay.Outbox(self.settings.messages_most, self.settings.messages_span_s)
         self.standing = Standing()
         self.caller = Caller(reactor, config.relay, self.outbox, log)
-        room = max(16, min(config.sockets - RESERVE - self.settings.slices // 4, 400))
+        tasks = len(config.known["hosts"]) if config.known and isinstance(config.known.get("hosts"), list) else 0
+        room = max(16, min(config.sockets - RESERVE - 2 * tasks, STRANGERS_MOST))
         self.listener = Listener(reactor, self.names.zones, self._report, log, room)
         self.news_watch = Watch(
             reactor, config.relay, lambda: "/api/watch", self._news_opened, self._news, self._news_lost,
--- a/tests/test_node_service.py
+++ b/tests/test_node_service.py
@@ -455,6 +455,20 @@
         assert results[0].values == (2.0,) and results[0].took_s == pytest.approx(0.005, abs=0.002)
 
 
+def test_a_kept_connection_that_was_closed_is_no_failed_probe(platform: Platform) -> None:
+    platform.go(2.0)
+    heard: list[Any] = []
+    inner = platform.node.runtime.hear
+    platform.node.runtime.hear = lambda now, *events: (heard.extend(events), inner(now, *events))[1]  # type: ignore
+    task = platform.tasks[0]
+    for c in [c for c in task.connections if c.open]:
+        c.dataReceived = lambda data, c=c: c.transport.abortConnection()
+    platform.go(2.0)
+    number = platform.node.hosts.number("s-0")
+    results = [e for e in heard if type(e).__name__ == "ProbeResult" and e.server == number]
+    assert len(results) >= 2 and {e.status for e in results} == {0} and len(task.connections) == 2
+
+
 def test_a_standing_task_may_change_its_address(platform: Platform) -> None:
     platform.go(2.0)
     other = Task(platform.net, 9999)
