--- a/puffintide/node/service.py
+++ b/puffintide/node/service.py
@@ -56,7 +56,9 @@
         self.outbox = relay.Outbox(self.settings.messages_most, self.settings.messages_span_s)
         self.standing = Standing()
         self.caller = Caller(reactor, config.relay, self.outbox, log)
-        tasks = len(config.known["hosts"]) if config.known and isinstance(config.known.get("hosts"), list) else 0
+        tasks = (
+            len(config.known["hosts"]) if config.known and isinstance(config.known.get("hosts"), list) else 0
+        )
         room = max(16, min(config.sockets - RESERVE - 2 * tasks, STRANGERS_MOST))
         self.listener = Listener(reactor, self.names.zones, self._report, log, room)
         self.news_watch = Watch(
@@ -338,6 +340,8 @@
             self._schedule(max(0.001, timer - self.now()))
 
     def _recover(self) -> None:
+        if self.runtime.next_timer() is not None:
+            return  # what failed was not the module; a second timer would double its rounds for good
         self.runtime.hear(self.now(), api.TimerDue(0))
         self._schedule()
 
--- a/tests/test_node_service.py
+++ b/tests/test_node_service.py
@@ -592,6 +592,15 @@
     platform.go(1.0)
     decider.judge_health = real
     assert "ZeroDivisionError" in platform.logged("round_failed")[0]["error"]
+    platform.go(1.0)
+    caller: Any = platform.node.caller
+    kick, caller.kick = caller.kick, lambda: 1 / 0
+    platform.discovery.change(entry(2, "leaving"))
+    platform.go(0.5)
+    caller.kick = kick
+    platform.node.caller.kick()
+    platform.go(2.0)
+    assert len(platform.node.runtime._timers) == 1  # its rounds go on at their pace, not at twice that
     platform.discovery.change(entry(1, "leaving"))
     platform.go(1.0)
     assert "s-1" not in platform.relay.named()
