Node: whose table holds, list kinds and probe ends are told in pure modules

Review: service._compare chose whose table holds, service._take_members what a line of the list is and when probes may go, and probe what a 503 means, all in files that do I/O. They are now standing.read_anew and Standing.in_service, messages.Members.kind and names.probe_end, each with a test of its own; behaviour as before.

--- a/puffintide/node/messages.py
+++ b/puffintide/node/messages.py
@@ -197,6 +197,17 @@
     entries: list[Entry]
     bad: list[str]  # reasons of those passed over
 
+    def kind(self, version: int, known: bool = False) -> str | None:
+        """As the module is told it, where the list held has this version; None: nothing new. A whole list with
+        entries that can't be read is told as changes: such an entry is not one that is missing."""
+        if known:
+            return "cached"
+        if self.whole and not self.bad:
+            return "full"
+        if not self.whole and self.seq <= version:
+            return None
+        return "delta" if self.entries or self.bad else None
+
 
 STATES = {"left": api.GONE, "active": api.READY, "leaving": api.DRAINING}
 _members = msgspec.json.Decoder(_Members)
--- a/puffintide/node/probe.py
+++ b/puffintide/node/probe.py
@@ -10,13 +10,19 @@
 
 from puffintide.node.config import Address
 from puffintide.node.http import Exchange, Unreadable
-from puffintide.node.names import parse_text_report
+from puffintide.node.names import (
+    ANSWERED,
+    BROKEN_OFF,
+    ERROR,
+    TIMED_OUT,
+    UNREACHABLE,
+    parse_text_report,
+    probe_end,
+)
 
 # A task that is well answers in tens of milliseconds; the module asks again after twice this.
-# Who is turned away at the door hears so at once; a 503 later than half of this is of a task that gave the wait up.
 TIMEOUT_S = 0.4
 BODY_MOST = 16 * 1024
-ANSWERED, ERROR, TURNED_AWAY, TIMED_OUT, UNREACHABLE, BROKEN_OFF = range(6)
 Done = Callable[[int, float, dict[str, float]], None]  # status, how long it took, load report
 
 
@@ -111,12 +117,8 @@
             self.link = _Link(self)
 
     def answered(self, status: int, body: bytes) -> None:
-        if status == 200:
-            self.end(ANSWERED, parse_text_report(body.decode("ascii", "replace")))
-        elif status == 503:
-            self.end(TURNED_AWAY if self.took() < TIMEOUT_S / 2 else TIMED_OUT)
-        else:
-            self.end(ERROR)
+        end = probe_end(status, self.took(), TIMEOUT_S)
+        self.end(end, parse_text_report(body.decode("ascii", "replace")) if end == ANSWERED else None)
 
     def took(self) -> float:
         return 0.0 if self.since is None else float(self.reactor.seconds() - self.since)
--- a/puffintide/node/relay.py
+++ b/puffintide/node/relay.py
@@ -102,9 +102,10 @@
         """A slice left our charge: what waits for it is void."""
         self._waiting = {k: o for k, o in self._waiting.items() if not (k[0] == "line" and k[1] == number)}
 
-    def waits(self, number: int, server: int) -> bool:
-        key = ("line", number, server)
-        return key in self._waiting or (self._out is not None and any(o.key == key for o in self._out.orders))
+    def servers(self, number: int) -> set[int]:
+        """Those that lines of a slice, waiting or out, are for."""
+        out = [o.key for o in self._out.orders] if self._out is not None else []
+        return {k[2] for k in [*self._waiting, *out] if k[0] == "line" and k[1] == number}
 
     def __len__(self) -> int:
         return len(self._waiting) + (len(self._out.orders) if self._out else 0)
--- a/puffintide/node/service.py
+++ b/puffintide/node/service.py
@@ -18,7 +18,7 @@
 from puffintide.node.listener import Listener
 from puffintide.node.names import Hosts
 from puffintide.node.probe import Prober
-from puffintide.node.standing import Changes, Standing
+from puffintide.node.standing import Changes, Standing, read_anew
 from puffintide.node.watch import Watch
 from puffintide.policy import Director
 from puffintide.wire.messages import Charge, Held
@@ -75,9 +75,6 @@
         self._tick_at: Any = None
         self._settle_at: Any = None
         self._settled_once = False
-        # No proxy has joined yet: the platform's tasks answer probes without the work that they take in service,
-        # which would make all later answers look slow.
-        self.in_service = False
         self._sent: dict[relay.Key, float] = {}  # lines handed to the outbox lately
         self._stopping = False
         self.rounds = 0
@@ -155,10 +152,8 @@
         except (m.Spoilt, m.Unreadable) as error:
             self.log("list_refused", reason=str(error))
             return
-        if not told.whole and not known and told.seq <= self.version:
-            return
-        kind = "cached" if known else "full" if told.whole and not told.bad else "delta"
-        if kind == "delta" and not told.entries and not told.bad:
+        kind = told.kind(self.version, known)
+        if kind is None:
             return
         news = ListNews(kind, told.seq, told.entries)
         for reason in [*told.bad, *self.runtime.news(self.now(), news)][:5]:
@@ -224,7 +219,6 @@
                 self.log("news_refused", reason=f"zone {row.az[:40]!r} of proxy {row.sidecar}")
                 continue
             self.runtime.joined(now, row.sidecar, zone, row.share, row.standing)
-            self.in_service = True
         for number in changes.taken:
             self.outbox.void(number)
             self.runtime.taken(now, number)
@@ -248,18 +242,13 @@
         self.runtime.charge(now, Charge(number, 1, self.settings.instance, lines))
 
     def _compare(self, now: float, number: int, table: dict[str, float]) -> None:
-        """A slice that was ours before this watch and is ours still. What waits to be sent again is ours to say;
-        where the store differs otherwise, another has had the slice meanwhile, and its table is read anew."""
         stored = {self.hosts.number(host): share for host, share in table.items() if share > 0}
         decider = self.runtime.decider
         view = decider.slices.get(number) if isinstance(decider, Director) else None
         believed = view.lines if view is not None else {}
-        differ = {
-            s for s in stored.keys() | believed.keys() if abs(stored.get(s, 0) - believed.get(s, 0)) > 1e-3
-        }
         late = self.reactor.seconds() - TOLD_S
-        lately = {s for s in differ if self._sent.get(("line", number, s), -1e9) > late}
-        if differ - lately - {s for s in differ if self.outbox.waits(number, s)}:
+        sent = {k[2] for k, at in self._sent.items() if k[1] == number and at > late}
+        if read_anew(stored, believed, sent | self.outbox.servers(number)):
             self.log("table_differs", slice=number, stored=len(stored), believed=len(believed))
             self._given(now, number, table)
 
@@ -361,7 +350,7 @@
                     withdrawals=[o.text.decode() for o in orders if o.key[0] == "server"][:5],
                     after_ms=round((self.now() - effects.heard_at) * 1000, 2),
                 )  # fmt: skip
-        if effects.probes and self.in_service:
+        if effects.probes and self.standing.in_service:
             idle = not self._to_probe
             self._to_probe += effects.probes
             if idle:
--- a/puffintide/node/standing.py
+++ b/puffintide/node/standing.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
 from puffintide.node import messages as m
@@ -34,6 +35,9 @@
         self._snap: dict[int, m.Joined] = {}
         self._fresh: dict[int, dict[str, float]] = {}  # given, with lines that may still come
         self.stray = 0  # lines held of slices that were not given
+        # A proxy has joined. Before that the platform's tasks answer probes without the work that they take in
+        # service, which would make all later answers look slow: no probe goes out.
+        self.in_service = False
 
     def opened(self) -> None:
         """A watch begins: what stands comes first."""
@@ -76,6 +80,7 @@
         if news.sidecar in self.proxies:  # it came back before its leaving was told
             out.left.append(news.sidecar)
         self.proxies[news.sidecar] = news
+        self.in_service = True
         out.joined.append(news)
 
     def settled(self) -> Changes:
@@ -97,3 +102,11 @@
         out.given, self._fresh = self._fresh, {}
         self.slices |= out.given.keys()
         return out
+
+
+def read_anew(stored: Mapping[int, float], believed: Mapping[int, float], ours: Collection[int]) -> bool:
+    """Whether the table of a slice that was ours before a watch and is ours still is to be read anew. Lines to the
+    servers in `ours` are still on their way or were sent just now, so the store may be behind. Where it differs
+    otherwise, another has had the slice meanwhile, and what it wrote holds."""
+    keys = stored.keys() | believed.keys()
+    return any(abs(stored.get(s, 0.0) - believed.get(s, 0.0)) > 1e-3 for s in keys - set(ours))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,9 +16,10 @@
 from puffintide.node.http import Exchange, Unreadable
 from puffintide.node.lines import Lines, TooLong
 from puffintide.node.log import Log
-from puffintide.node.names import Hosts, Names, draw, parse_text_report
+from puffintide.node.names import Hosts, Names, draw, parse_text_report, probe_end
 from puffintide.node.relay import BYTES_MOST, Order, Outbox, orders, read_answer
-from puffintide.node.standing import Changes, Standing
+from puffintide.node.standing import Changes, Standing, read_anew
+from puffintide.wire.messages import Entry
 from tests.test_drill import CONF
 
 NAMES = Names(["a", "b"], ["status", "start"], ["m1", "m2"], ["rif", "busy"])
@@ -314,7 +315,7 @@
     box.put([line(1, 1.0, 5), line(1, 1.0, 6), out(5)])
     box.void(5)
     assert [o.key for o in sent(box)] == [("line", 6, 1), ("server", 5, 0)]
-    assert box.waits(6, 1) and not box.waits(5, 1)
+    assert box.servers(6) == {1} and not box.servers(5)
 
 
 @pytest.mark.parametrize(
@@ -367,6 +368,27 @@
     assert standing.slices == {8, 9} and standing.proxies.keys() == {2, 3}
 
 
+def test_whose_table_holds_after_a_watch_was_away() -> None:
+    assert not read_anew({1: 1.0}, {1: 1.0}, [])
+    assert read_anew({1: 1.0}, {2: 1.0}, []) and read_anew({}, {1: 1.0}, []) and read_anew({1: 0.5}, {1: 1.0}, [])
+    assert not read_anew({1: 1.0}, {2: 1.0}, [1, 2])  # ours, on their way
+    assert read_anew({1: 1.0, 3: 1.0}, {2: 1.0}, [1, 2])
+
+
+def test_what_a_line_of_the_list_is() -> None:
+    def kind(seq: int, whole: bool, entries: int, bad: int, known: bool = False) -> str | None:
+        made = m.Members(seq, whole, [Entry(k, 0, 0, 0, 1, 1.0, 0, -1.0) for k in range(entries)], ["x"] * bad)
+        return made.kind(5, known)
+
+    assert kind(6, False, 1, 0) == "delta" and kind(5, False, 1, 0) is None and kind(6, False, 0, 0) is None
+    assert kind(2, True, 1, 0) == kind(2, True, 0, 0) == "full" and kind(6, True, 1, 1) == "delta"
+    assert kind(2, True, 1, 0, known=True) == "cached"
+
+
+def test_what_a_probes_answer_means() -> None:
+    assert [probe_end(s, t, 0.4) for s, t in ((200, 0.3), (503, 0.1), (503, 0.3), (500, 0.1))] == [0, 2, 3, 1]
+
+
 def test_slices_given_later_come_with_their_lines() -> None:
     standing = Standing()
     stands(standing, [1], {})
