Node: what an answer means is the outbox's; no collector that reports is displaced

Found so: 33 connections that name a zone within half a second cut the collector that reports (listener.Listener.joined); now the newest.

--- a/puffintide/node/listener.py
+++ b/puffintide/node/listener.py
@@ -16,7 +16,8 @@
 JOIN_S = 1.5  # who has not joined by then is closed; the platform grants 1 s and asks for 3 s at most
 SWEEP_S = 0.25
 LINGER_S = 0.5  # a refused connection that has not closed by then is cut
-COLLECTORS_MOST = 32  # of which the longest silent is cut: dead ones give no sign
+COLLECTORS_MOST = 32  # of which the longest silent is cut, as dead ones give no sign
+DEAD_S = 3.0  # unless all were heard so lately: then the newest is, so that none that reports is displaced
 REFUSED = b'{"msg":"refused"}\n'
 
 
@@ -155,7 +156,9 @@
         self.collectors[peer] = None
         self.log("collector_joined", zone=peer.zone)
         if len(self.collectors) > COLLECTORS_MOST:
-            min(self.collectors, key=lambda p: p.heard).transport.abortConnection()
+            oldest = min(self.collectors, key=lambda p: p.heard)
+            dead = self.reactor.seconds() - oldest.heard > DEAD_S
+            (oldest if dead else peer).transport.abortConnection()
 
     def went(self, peer: Peer) -> None:
         self.strangers.pop(peer, None)
--- a/puffintide/node/relay.py
+++ b/puffintide/node/relay.py
@@ -18,6 +18,9 @@
 
 BYTES_MOST = 60_000
 WRAP = len('{"orders":[]}')
+AGAIN_S, AGAIN_MOST_S = 0.02, 0.5  # pause before a call or look is made again, doubled up to the second
+THROTTLED_S = 0.25  # pace of tries until the run begins
+LOOKS_MOST = 5  # looks at what stands that fail, until a call in doubt is sent again without
 INVALID_MOST = 3  # times that a call is turned away as none before its orders are given up
 
 Key = tuple[str, int, int]
@@ -79,9 +82,20 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What is done after a call or a look: after the pause, a look at what stands or else the next call."""
+
+    pause_s: float = 0.0
+    look: bool = False
+    event: str = ""  # for the log, with these fields
+    fields: dict[str, object] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class Outbox:
-    """put() orders, next() the call to make now, then one of taken(), unsure(), refused() with its fate."""
+    """put() orders, next() the call to make now, then answered() with what became of it, and looked() with what
+    stands where that was asked for."""
 
     messages_most: int = 0  # messages that one proxy may be written within span_s; 0: no limit
     span_s: float = 10.0
@@ -90,6 +104,8 @@
     _sent: deque[float] = field(default_factory=deque)  # calls that were or may have been carried out
     _invalid: int = 0
     _doubted: set[Key] = field(default_factory=set)  # orders that were once not accepted
+    _again_s: float = AGAIN_S
+    _looks: int = 0
     unsure_calls: int = 0
     dropped: int = 0
 
@@ -140,6 +156,52 @@
         self._out = Call(chosen, b'{"orders":[' + b",".join(o.text for o in chosen) + b"]}")
         return self._out
 
+    def answered(self, now: float, how: str, status: int, body: bytes) -> Verdict:
+        """What became of the call that is out. how: answer, unreachable, broken, silent or unreadable."""
+        assert self._out is not None
+        size = len(self._out.orders)
+        answer = read_answer(status, body, size) if how == "answer" else Answer()
+        if answer.accepted is not None:
+            self._again_s = AGAIN_S
+            bad = self.taken(now, answer.accepted)
+            if bad is None:
+                return Verdict()
+            fields = {"order": bad.text.decode(), "accepted": answer.accepted, "of": size}
+            return Verdict(event="order_passed_over", fields=fields)
+        if answer.error == "throttled":
+            self.restore()
+            return Verdict(THROTTLED_S)
+        pause, text = self._pause(), body[:120].decode("utf-8", "replace")
+        if answer.error == "invalid":
+            given_up = self.invalid()
+            return Verdict(
+                pause, event="call_given_up" if given_up else "", fields={"orders": size, "body": text}
+            )
+        # Broken, silent, unreadable, or an error that is not known: it may have been carried out or not.
+        self.unsure_calls += 1
+        look = how != "unreachable" and self.tells
+        if look:
+            self._looks = 0
+        else:
+            self.unsure(now, carried=how != "unreachable")
+        fields = {"how": how, "status": status, "orders": size, "body": text}
+        return Verdict(pause, look, "call_unsure", fields)
+
+    def looked(self, now: float, tables: Mapping[int, Mapping[str, float]] | None) -> Verdict:
+        """What stands after a call in doubt; None: it could not be had."""
+        if tables is not None:
+            self._again_s = AGAIN_S
+            return Verdict(event="call_settled", fields={"carried": self.seen(now, tables)})
+        self._looks += 1
+        if self._looks < LOOKS_MOST:
+            return Verdict(self._pause(), look=True)
+        self.unsure(now, carried=True)
+        return Verdict(self._pause())
+
+    def _pause(self) -> float:
+        pause, self._again_s = self._again_s, min(2 * self._again_s, AGAIN_MOST_S)
+        return pause
+
     def _return(self, back: list[Order]) -> None:
         """Orders that are to be sent again, before those that wait, unless a newer wish waits."""
         rest = {o.key: o for o in back if o.key not in self._waiting}
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -275,6 +275,33 @@
     assert not box.tells
 
 
+def test_what_each_end_of_a_call_leads_to() -> None:
+    def after(how: str, body: bytes = b"", *, with_line: bool = True) -> tuple[bool, bool, int]:
+        box = Outbox()
+        box.put([Order(("line", 0, 2), b"{}", 1, (0, "s-2", 1.0)) if with_line else out(1)])
+        box.next()
+        verdict = box.answered(0.0, how, 200, body)
+        return verdict.look, verdict.pause_s > 0, len(box)
+
+    assert after("answer", b'{"accepted":1}') == (False, False, 0)
+    assert after("answer", b'{"error":"throttled"}') == after("answer", b'{"error":"invalid"}') == (False, True, 1)
+    assert after("unreachable") == (False, True, 1)  # surely not carried out
+    for how, body in (("broken", b""), ("silent", b""), ("unreadable", b""), ("answer", b"{"), ("answer", b"[]")):
+        assert after(how, body) == (True, True, 1)
+        assert after(how, body, with_line=False) == (False, True, 1)
+
+
+def test_looks_that_fail_are_repeated_and_end() -> None:
+    box = Outbox()
+    box.put([Order(("line", 0, 2), b"{}", 1, (0, "s-2", 1.0))])
+    box.next()
+    verdict, looks, pauses = box.answered(0.0, "silent", 0, b""), 0, list[float]()
+    while verdict.look:
+        looks, pauses = looks + 1, [*pauses, verdict.pause_s]
+        verdict = box.looked(0.0, None)
+    assert looks == 5 and pauses == sorted(pauses) and not box.busy and len(box) == 1
+
+
 def test_messages_that_may_have_been_sent_count_to_the_limit() -> None:
     box = Outbox(messages_most=2, span_s=10.0)
     for now, carried in ((0.0, True), (1.0, False), (2.0, True)):
--- a/tests/test_node_service.py
+++ b/tests/test_node_service.py
@@ -15,8 +15,11 @@
 import h11
 import pytest
 from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
 
 from puffintide.node.config import load
+from puffintide.node.once import Once, Outcome
 from puffintide.node.service import Service
 from tests.deployment import Party, Reactor
 from tests.test_drill import CONF
@@ -123,6 +126,7 @@
         self.proxies = [0, 1, 2]
         self.tables: dict[int, dict[str, float]] = {s: {f"s-{s % SERVERS}": 1.0} for s in range(SLICES)}
         self.out: set[str] = set()
+        self.fresh = set(self.proxies)  # hold no table that was ordered
 
     def answer(self, c: Http, method: str, target: str, body: bytes) -> None:
         if method == "GET":
@@ -155,7 +159,9 @@
 
     def standing(self, c: Http) -> None:
         for p in self.proxies:
-            c.line({"type": "joined", "object": {"sidecar": p, "az": "a", "share": 5.0, "standing": True}})
+            row = {"sidecar": p, "az": "a", "share": 5.0, "standing": p in self.fresh}
+            c.line({"type": "joined", "object": row})
+        self.fresh = set()
         for s, table in self.tables.items():
             c.line({"type": "given", "object": {"partition": s, "yes": True}})
             for host, share in table.items():
@@ -293,6 +299,23 @@
                            "window": 500.0, "report": {"inflight": 1}})  # fmt: skip
             self.go(0.5)
 
+    def hears(self) -> list[Any]:
+        """What the runtime is told from now on."""
+        heard: list[Any] = []
+        runtime: Any = self.node.runtime
+        inner = runtime.hear
+
+        def hear(now: float, *events: Any) -> None:
+            heard.extend(events)
+            inner(now, *events)
+
+        runtime.hear = hear
+        return heard
+
+    def break_watches(self) -> None:
+        for c in self.relay.watchers() + self.discovery.watchers():
+            c.transport.abortConnection()
+
     def believed(self) -> dict[int, dict[str, float]]:
         """The module's tables, by the platform's names."""
         slices: Any = self.node.runtime.decider.slices  # type: ignore[attr-defined]
@@ -384,12 +407,13 @@
 
 def test_a_watch_that_breaks_looks_like_nothing_happened(platform: Platform) -> None:
     before = platform.believed()
-    heard = platform.node.rounds
-    for c in platform.relay.watchers() + platform.discovery.watchers():
-        c.transport.abortConnection()
+    rounds, heard = platform.node.rounds, platform.hears()
+    platform.break_watches()
     platform.go(3.0)
+    told = {type(e).__name__ for e in heard}
+    assert not told & {"ProxyJoined", "ProxyLeft", "SliceCharge", "StoredLine"}
     assert platform.node.runtime.proxies.keys() == {0, 1, 2} and platform.believed() == before
-    assert platform.relay.watchers() and platform.discovery.watchers() and platform.node.rounds > heard
+    assert platform.relay.watchers() and platform.discovery.watchers() and platform.node.rounds > rounds
     assert [row for _, rows in platform.relay.calls for row in rows if row["do"] == "SET"] == []
 
 
@@ -397,13 +421,40 @@
     platform.relay.proxies = [0, 2, 4]
     del platform.relay.tables[5]
     platform.relay.tables[3] = {"s-0": 1.0}  # another had it meanwhile
-    for c in platform.relay.watchers():
-        c.transport.abortConnection()
+    platform.relay.fresh = {2, 4}  # and proxy 2 has started anew
+    heard = platform.hears()
+    platform.break_watches()
     platform.go(1.0)
+    assert [e.proxy for e in heard if type(e).__name__ == "ProxyJoined"] == [2, 4]
     assert platform.node.runtime.proxies.keys() == {0, 2, 4} and 5 not in platform.node.runtime.tokens
     assert platform.believed() == platform.relay.tables
 
 
+def test_what_was_ordered_just_now_is_not_read_anew_from_an_older_view(platform: Platform) -> None:
+    before = {s: dict(table) for s, table in platform.relay.tables.items()}
+    platform.discovery.change(entry(1, "leaving"))
+    platform.go(0.05)
+    now, platform.relay.tables = platform.relay.tables, before  # the watch began before the call was carried out
+    platform.break_watches()
+    platform.go(0.5)
+    assert platform.believed() == now and not platform.logged("table_differs")
+
+
+@pytest.mark.parametrize("again", [False, True])
+def test_orders_of_an_ended_charge_are_void(platform: Platform, again: bool) -> None:
+    platform.relay.fates = ["throttled"] * 4
+    platform.discovery.change(entry(1, "leaving"))
+    platform.go(0.1)
+    assert platform.node.outbox.servers(1)
+    platform.relay.tables[1] = {"s-0": 1.0}
+    platform.relay.tell({"type": "given", "object": {"partition": 1, "yes": again}})
+    if again:  # given anew, with another table
+        platform.relay.tell({"type": "held", "object": {"partition": 1, "host": "s-0", "share": 1.0}})
+    platform.go(3.0)
+    rows = [row for _, rows in platform.relay.calls for row in rows if row.get("group") == 1]
+    assert rows == [] and platform.relay.calls
+
+
 def test_a_watch_that_falls_silent_is_replaced_and_nothing_forgotten(platform: Platform) -> None:
     platform.relay.silent = platform.discovery.silent = True
     first = platform.relay.watchers() + platform.discovery.watchers()
@@ -454,9 +505,7 @@
     [("well", 0), ("odd", 1), ("full", 2), ("late 503", 3), ("dumb", 3), ("down", 4), ("reset", 5)],
 )
 def test_how_a_probe_ends_is_told(platform: Platform, mode: str, status: int) -> None:
-    heard: list[Any] = []
-    inner = platform.node.runtime.hear
-    platform.node.runtime.hear = lambda now, *events: (heard.extend(events), inner(now, *events))[1]  # type: ignore
+    heard = platform.hears()
     platform.tasks[0].mode = mode
     if mode == "down":
         platform.tasks[0].party.kill()
@@ -470,16 +519,26 @@
 
 def test_a_kept_connection_that_was_closed_is_no_failed_probe(platform: Platform) -> None:
     platform.go(2.0)
-    heard: list[Any] = []
-    inner = platform.node.runtime.hear
-    platform.node.runtime.hear = lambda now, *events: (heard.extend(events), inner(now, *events))[1]  # type: ignore
+    heard = platform.hears()
+    for task in platform.tasks:  # closed while idle
+        for c in [c for c in task.connections if c.open]:
+            c.transport.abortConnection()
+    platform.go(1.0)
+    assert {e.status for e in heard if type(e).__name__ == "ProbeResult"} == {0}
     task = platform.tasks[0]
     for c in [c for c in task.connections if c.open]:
         c.dataReceived = lambda data, c=c: c.transport.abortConnection()
     platform.go(2.0)
     number = platform.node.hosts.number("s-0")
     results = [e for e in heard if type(e).__name__ == "ProbeResult" and e.server == number]
-    assert len(results) >= 2 and {e.status for e in results} == {0} and len(task.connections) == 2
+    assert len(results) >= 2 and {e.status for e in results} == {0} and len(task.connections) == 3
+
+
+def test_a_task_that_has_gone_is_let_go(platform: Platform) -> None:
+    platform.go(2.0)
+    platform.discovery.change(entry(0, "left"))
+    platform.go(0.1)
+    assert platform.tasks[0].probes and not any(c.open for c in platform.tasks[0].connections)
 
 
 def test_a_standing_task_may_change_its_address(platform: Platform) -> None:
@@ -543,6 +602,38 @@
     assert collector.open and not many[0].open
 
 
+def test_dead_collectors_do_not_pile_up(platform: Platform) -> None:
+    alive = platform.collector()
+    dead = [platform.collector() for _ in range(40)]
+    assert len(platform.node.listener.collectors) == 32 and alive.open and not dead[-1].open
+    platform.report(alive, 8)
+    more = [platform.collector() for _ in range(5)]
+    assert len(platform.node.listener.collectors) == 32 and alive.open and not dead[0].open and more[-1].open
+
+
+def test_a_refused_one_that_does_not_close_is_cut(platform: Platform) -> None:
+    peer = Peer(platform)
+    (held,) = platform.node.listener.strangers
+    held.transport.loseConnection = lambda: None
+    peer.send({"msg": "collector", "az": "zz"})
+    platform.go(1.0)
+    assert not peer.open and not platform.node.listener.strangers
+
+
+def test_an_answer_that_waits_unread_is_read_before_the_wait_ends() -> None:
+    clock: Any = Clock()
+    clock.connectTCP = lambda *_, **__: None
+    got: list[Outcome] = []
+    once = Once(clock, ("127.0.0.1", 1), ("GET", "/x", None), got.append, 0.5, 0.12, 100)
+    transport: Any = StringTransport()
+    transport.setTcpNoDelay = lambda on: None
+    once.makeConnection(transport)
+    clock.advance(0.5)  # this process stood still, and its timers come first
+    assert not got
+    once.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+    assert got == [Outcome("answer", 200, b"{}")]
+
+
 def test_pongs_that_nobody_reads_are_bounded(platform: Platform) -> None:
     peer = platform.collector()
     peer.transport.pauseProducing()
