--- a/tests/test_node_service.py
+++ b/tests/test_node_service.py
@@ -605,9 +605,11 @@
 def test_dead_collectors_do_not_pile_up(platform: Platform) -> None:
     alive = platform.collector()
     dead = [platform.collector() for _ in range(40)]
+    platform.go(0.01)
     assert len(platform.node.listener.collectors) == 32 and alive.open and not dead[-1].open
     platform.report(alive, 8)
     more = [platform.collector() for _ in range(5)]
+    platform.go(0.01)
     assert len(platform.node.listener.collectors) == 32 and alive.open and not dead[0].open and more[-1].open
 
 
@@ -625,9 +627,9 @@
     clock.connectTCP = lambda *_, **__: None
     got: list[Outcome] = []
     once = Once(clock, ("127.0.0.1", 1), ("GET", "/x", None), got.append, 0.5, 0.12, 100)
-    transport: Any = StringTransport()
+    transport: Any = StringTransport()  # type: ignore[no-untyped-call]
     transport.setTcpNoDelay = lambda on: None
-    once.makeConnection(transport)
+    once.makeConnection(transport)  # type: ignore[no-untyped-call]
     clock.advance(0.5)  # this process stood still, and its timers come first
     assert not got
     once.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
