Test of the store on a cluster: the first is paused, not left to take its lease anew

Cause: after the stand-in's clock passed the lease, the first's next beat (every third of its 10 s) found it gone and took the holder's key anew, as it may (engine.beat, _fenced); the second, slow to start on a busy machine, came after it.

--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -215,7 +216,7 @@
 
 
 def test_the_running_store_on_a_cluster_and_a_second_that_takes_its_place(etcd: Etcd, tmp_path: Path) -> None:
-    """The first is cut off from the cluster beyond its lease, a second begins, and the first ends itself."""
+    """The first is paused beyond its lease, a second begins, and the first ends itself once it goes on."""
     section = {"listen": f"127.0.0.1:{PORTS.take()}", "etcd": f"127.0.0.1:{etcd.port}"}  # type: ignore[attr-defined]
     with process(tmp_path, "store", section) as first:
         port = int(section["listen"].split(":")[1])
@@ -230,12 +231,14 @@
             line.until(lambda x: isinstance(x, m.Written), 1.0)  # not kept, so not told
         etcd.faults.no_leader = False
         line.until(lambda x: isinstance(x, m.Written))
+        first.send_signal(signal.SIGSTOP)  # else its next beat may take the lease anew before the second is up
         advance(etcd, 30)
         second = dict(section, listen=f"127.0.0.1:{PORTS.take()}")
         folder = tmp_path / "second"
         folder.mkdir()
         end = time.monotonic() + 20
         with process(folder, "store", second):
+            first.send_signal(signal.SIGCONT)
             assert first.wait(max(1.0, end - time.monotonic())) == 2
             other = dial(int(second["listen"].split(":")[1]), m.Hello(m.VERSION, "proxy", 0, 0, "t"))
             other.until(lambda x: isinstance(x, m.Welcome))
