Module: a server above its capacity sheds to any that stays within its own

Checked by a trace of estimates and of tables planned beside those held: planned equals held, so neither the channel, the rest of moved slices nor late reports kept them; place() found no server below ROOM, as capacity is read low (5.0 requests a second for a listed core) while servers hang, and a warm server was then left as it is. Change: one above SHORT of its capacity may shed to any that stays below SHORT itself, in the fixed order.

--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -438,9 +438,9 @@
                 return part[number]
             return part[number] * (COLD_MISS if sid in raw else MISS)
 
-        def place(number: int) -> int | None:
+        def place(number: int, fill: float = ROOM) -> int | None:
             even = [] if self.set.tiers else [min(ROOM, total / most)]  # else the nearest are filled first
-            for room in [*even, ROOM]:  # first those not above the fleet's mean load
+            for room in [*even, fill]:  # first those not above the fleet's mean load
                 for sid in self.ranking(number):
                     if sid in usable and sid not in plan[number]:
                         allowed = base[sid] + (room * can[sid] - base[sid]) / self.set.instances
@@ -504,6 +504,8 @@
                 target = place(number)
                 if target is None and sid not in warm:  # a cold server is spared all the same
                     target = next((s for s in [roomiest(number)] if s in warm), None)
+                if target is None and load[sid] > SHORT * can[sid]:  # it can't serve them, another still can:
+                    target = place(number, SHORT)  # a fleet that is short must not leave all of it on a few
                 if target is not None:
                     move(number, sid, target)
                 elif lame and load[sid] > SAFE * self.set.fall_multiple * can[sid]:
