--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -34,6 +34,7 @@
 SILENT_S = 2.0  # time without a good answer before a server is suspect
 PROBES_MISSED = 3
 FAILING = 0.85  # share of failed tries that makes a server suspect
+SINKING = 0.4  # and one that makes a server with too much planned for it shed to fuller ones
 BLIND = 0.9  # a zone with more slowed or lost probes than this, unlike another: the link is slow, not they
 SAFE = 0.5  # part of the load that makes a cold server fall, sent where no warm server is left
 OUT_MOST = 0.6  # if more of the fleet than this looks bad, the cause is common: nobody is ejected
@@ -504,8 +505,10 @@
                 target = place(number)
                 if target is None and sid not in warm:  # a cold server is spared all the same
                     target = next((s for s in [roomiest(number)] if s in warm), None)
-                if target is None and load[sid] > SHORT * can[sid]:  # it can't serve them, another still can:
-                    target = place(number, SHORT)  # a fleet that is short must not leave all of it on a few
+                # Twice what it can do is planned there and much of it fails, after losses or for hot slices:
+                # where all are short, any other that stays within its own capacity is better.
+                if target is None and load[sid] > 2 * can[sid] and (self.servers[sid].failing or 0.0) > SINKING:
+                    target = place(number, SHORT)
                 if target is not None:
                     move(number, sid, target)
                 elif lame and load[sid] > SAFE * self.set.fall_multiple * can[sid]:
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -39,6 +39,20 @@
     assert all(world.load(s) <= world.capacity[s] for s in world.capacity)
 
 
+def test_a_sinking_server_sheds_past_the_usual_room_but_no_other_above_its_capacity() -> None:
+    """All others are above ROOM: one that gets over twice what it can do must not be left so for that."""
+    world = World(slices=80)
+    home = range(0, 80, 4)
+    for number in world.heat:
+        world.heat[number] = 1.14
+    world.run(5)
+    for number in home:
+        world.heat[number] = 3.5
+    world.run(20)
+    assert world.load(1) < 61
+    assert all(world.load(s) <= world.capacity[s] for s in world.capacity if s != 1)
+
+
 def test_detoured_slices_go_home_when_the_default_has_room_again() -> None:
     world = World(slices=40)
     busy_first(world)
