--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -206,3 +206,15 @@
     world.capacity[1] = 30.0
     world.run(40)
     assert world.director.servers[1].pace > 0.9
+
+
+def test_tries_that_fail_at_a_busy_server_tell_no_pace() -> None:
+    """Where busy shares are told: squeezed connections fail tries at servers that could do more."""
+    world = World(slices=40, instances=2)
+    for number in world.heat:
+        world.heat[number] = 1.5
+    world.capacity[1] = 5.0
+    world.run(15)
+    view = world.director.servers[1]
+    assert view.load == 1.0 and (view.failing or 0.0) > 0.4
+    assert view.pace == 1.0
