--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -35,7 +35,6 @@
 PROBES_MISSED = 3
 FAILING = 0.85  # share of failed tries that makes a server suspect
 SINKING = 0.4  # and one that makes a server with too much planned for it shed to fuller ones
-PACE_LEAST = 0.1  # of the speed of servers of its size, that such a one is planned with
 BLIND = 0.9  # a zone with more slowed or lost probes than this, unlike another: the link is slow, not they
 SAFE = 0.5  # part of the load that makes a cold server fall, sent where no warm server is left
 OUT_MOST = 0.6  # if more of the fleet than this looks bad, the cause is common: nobody is ejected
@@ -378,12 +377,6 @@
             times = sorted(time for _, time in timed)
             for v, time in timed:
                 v.pace = learn(v.pace, min(times[len(times) // 2] / time, JUMP))
-            # In-flight counts alone tell no pace: a full one that fails much is slow, or has seized up.
-            for v, load, _ in known if "busy" not in self.set.report_names else ():
-                if load >= 1 and (v.failing or 0.0) > SINKING:
-                    v.pace = learn(v.pace, max(1 - (v.failing or 0.0), PACE_LEAST))
-                elif load < CROWDED and v.service_s is None:
-                    v.pace = smooth(v.pace, 1.0, ROUND_S, STEADY_S)
             for v in ready:
                 v.capacity = self.per_size * v.entry.weight * v.pace
             for v, load, good in known:
