--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -507,7 +507,8 @@
                     target = next((s for s in [roomiest(number)] if s in warm), None)
                 # Twice what it can do is planned there and much of it fails, after losses or for hot slices:
                 # where all are short, any other that stays within its own capacity is better.
-                if target is None and load[sid] > 2 * can[sid] and (self.servers[sid].failing or 0.0) > SINKING:
+                sinking = load[sid] > 2 * can[sid] and (self.servers[sid].failing or 0.0) > SINKING
+                if target is None and sinking:
                     target = place(number, SHORT)
                 if target is not None:
                     move(number, sid, target)
