Test: a full server that is not sinking keeps its slices where all are short

Seen on reading the change once more: either sign of a sinking server (twice its capacity planned, tries failing) could be taken out and every test stayed green. Two cases now fail, one for each sign taken out; the older test fails where the bound on the others or the shedding is taken out.

--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -1,5 +1,9 @@
 """The mechanism on ordinary days: default map, threshold, ordered detours, changed tables only."""
 
+from dataclasses import replace
+
+import pytest
+
 from puffintide import interface as api
 from tests.world import World
 
@@ -53,6 +57,32 @@
     assert all(world.load(s) <= world.capacity[s] for s in world.capacity if s != 1)
 
 
+class Late(World):
+    """What a full server can't do is still waiting: nothing fails."""
+
+    def reports(self) -> list[api.Event]:
+        events = super().reports()
+        return [
+            replace(e, tries=e.tries - e.failed, failed=0) if isinstance(e, api.LoadReport) else e for e in events
+        ]
+
+
+@pytest.mark.parametrize(("make", "heat"), [(World, 2.7), (Late, 3.5)])
+def test_a_full_server_that_is_not_sinking_keeps_its_slices_where_all_are_short(
+    make: type[World], heat: float
+) -> None:
+    """Less than twice what it can do, or nothing that fails: moves would cost caches for little."""
+    world = make(slices=80)
+    for number in world.heat:
+        world.heat[number] = 1.14
+    world.run(5)
+    for number in range(0, 80, 4):
+        world.heat[number] = heat
+    before = world.moves()
+    world.run(20)
+    assert world.moves() == before
+
+
 def test_detoured_slices_go_home_when_the_default_has_room_again() -> None:
     world = World(slices=40)
     busy_first(world)
