Module: where even parts of the room hold no slices, each assigner has whole servers

Cause: detour() let each take a fifth of a server's room, `allowed = base + (room * can - base) / instances`. A cold server of 6 cores has room for some 6.8 requests a second, a fifth is 1.35, and a usual slice costs 2.5 * 1.5 there: none fits anywhere, in any assigner. Second: each sheds a fifth of the excess it sees; a full server shows the others' load as its capacity at most, so that is far less than a fifth of what is too much.

Change: where an Nth part of a server holds under two slices, an assigner has all the room of as many servers as its part of the slices, by a hash, and none of the others'; slices of the dead bring their part along. It sheds as its part of the server's load.

Tests of five directors in one fleet; taken out, each guard turns one red.

--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -26,6 +26,7 @@
 CROWDED = 0.8  # and one above this has a service time that tells of the crowd
 JUMP = 1.6  # a capacity reading off by this factor is learned fast
 MISS, COLD_MISS = 1.7, 1.5  # work that a slice brings to a warm or cold server without its keys, per request
+WHOLE = 2.0  # slices that an assigner's part of a server must hold for the room to be divided evenly
 SPLIT = 0.45  # a slice above this share of its server's capacity is spread, until below 0.55 of that
 PARTS_MOST = 4
 STANDBY = 0.004  # weight of the second line, where a proxy's further try finds another server
@@ -406,6 +407,12 @@
             self.orders[key] = [s for *_, s in sorted(ids)]
         return self.orders[key]
 
+    def ours(self, sid: int) -> bool:
+        """Whether a server is among those whose room this assigner has alone: as many as its part of the slices,
+        so that those of the dead count too."""
+        turn = zlib.crc32(f"{sid}".encode()) / 2**32 - self.set.instance / self.set.instances
+        return turn % 1 < len(self.slices) / max(1, self.set.slices)
+
     def detour(self, plan: Plan) -> Plan:
         can = {sid: self.capacity(sid) for sid in sorted(self.servers) if self.ready(sid)}
         standing = [(self.warmth(sid) < 1, sid) for sid in can]
@@ -418,6 +425,11 @@
         warm = {sid for sid in usable if self.warmth(sid) >= 1}
         raw = usable - warm
         lame = all(self.warmth(sid) < 1 for sid in can)  # then nobody need be served, and none may fall over
+        # All assigners see the same room and the same excess. Each takes its part of both, where that holds some
+        # slices whole. Smaller parts stay empty and the fleet's room unused: there each has all the room of some
+        # servers and none of the others', and sheds as its part of the load.
+        even = self.set.instances == 1 or self.set.slices >= WHOLE * len(can) * self.set.instances
+        parts = {sid: 1 / self.set.instances if even else float(self.ours(sid)) for sid in can}
         part: dict[int, float] = {}
         pieces = dict.fromkeys(self.slices, 1)
         for number, view in sorted(self.slices.items()):
@@ -444,7 +456,7 @@
             for room in [*even, fill]:  # first those not above the fleet's mean load
                 for sid in self.ranking(number):
                     if sid in usable and sid not in plan[number]:
-                        allowed = base[sid] + (room * can[sid] - base[sid]) / self.set.instances
+                        allowed = base[sid] + (room * can[sid] - base[sid]) * parts[sid]
                         if load[sid] + cost(number, sid) <= allowed:
                             return sid
             return None
@@ -497,8 +509,10 @@
                 alone[sid].append(number)
         for sid in sorted(usable):
             excess = max(0.0, base[sid] - FULL * can[sid]) if sid in warm else 0.0
+            others = (self.servers[sid].foreign or 0.0) / max(base[sid], 1e-9)
+            mine = 1 / self.set.instances if even else 1 - others
             for number in alone[sid]:
-                if load[sid] <= FULL * can[sid] + excess * (1 - 1 / self.set.instances):
+                if load[sid] <= FULL * can[sid] + excess * (1 - mine):
                     break
                 if part[number] <= 0.005 * can[sid]:  # not worth a move
                     continue
--- /dev/null
+++ b/tests/test_several.py
@@ -0,0 +1,88 @@
+"""Several assigners of one fleet that share nothing: what they do together."""
+
+import pytest
+
+from puffintide import interface as api
+from puffintide.policy import Director
+from tests.world import START, World, server, settings
+
+SERVERS, EACH = range(1, 11), 12
+
+
+class Fleet:
+    """Five Directors with 12 slices each of 60 on ten servers; servers report how busy all of them make them."""
+
+    def __init__(self, heat: float) -> None:
+        self.now, self.heat = START, heat
+        self.on = {n: SERVERS[n % 10] for n in range(5 * EACH)}
+        self.ready = set(SERVERS)
+        self.directors = [Director(settings(instance=k, instances=5, slices=5 * EACH)) for k in range(5)]
+        entries = tuple(server(s) for s in SERVERS)
+        for k, director in enumerate(self.directors):
+            events: list[api.Event] = [
+                api.ServerList("cached", 1, entries),
+                api.ProxyJoined(0, 0, 10.0, True),
+            ]
+            for n in self.mine(k):
+                events += [api.SliceCharge(n, True), api.StoredLine(n, self.on[n], 1.0)]
+            director.handle(self.now, events)
+
+    def mine(self, k: int) -> range:
+        return range(k * EACH, (k + 1) * EACH)
+
+    def load(self, sid: int, number: range) -> float:
+        return sum(self.heat for n in number if self.on[n] == sid)
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds * 4)):
+            self.now += 0.25
+            for k, director in enumerate(self.directors):
+                came = round(self.heat * 10)
+                events: list[api.Event] = [api.SliceHeat(n, 0, came, 0, 10.0) for n in self.mine(k)]
+                for sid in sorted(self.ready):
+                    tries, total = self.load(sid, self.mine(k)), self.load(sid, range(5 * EACH))
+                    good = tries * min(1.0, 30.0 / max(total, 1.0))
+                    report = api.LoadReport(0, sid, round(tries * 10), round((tries - good) * 10), 0.2, 10.0,
+                                            (min(1.0, total / 30.0),))  # fmt: skip
+                    events.append(report)
+                self.hear(director, *events, api.TimerDue(1))
+
+    def hear(self, director: Director, *events: api.Event) -> None:
+        for action in director.handle(self.now, events):
+            if isinstance(action, api.SetLine) and action.weight >= 1:
+                self.on[action.table] = action.server
+
+    def tell(self, *entries: api.Server) -> None:
+        self.ready = {s for s in self.ready if s not in {e.id for e in entries}}
+        self.ready |= {e.id for e in entries if e.state == api.READY}
+        for director in self.directors:
+            self.hear(director, api.ServerList("delta", 2, entries))
+
+
+def test_after_a_release_the_new_servers_are_used_and_none_is_crowded() -> None:
+    fleet = Fleet(heat=3.5)
+    fleet.run(10)
+    fleet.tell(*(server(s, started=fleet.now) for s in range(11, 16)))
+    fleet.run(1)
+    fleet.tell(*(server(s, state=api.DRAINING) for s in range(1, 6)))
+    fleet.run(20)
+    loads = {s: fleet.load(s, range(5 * EACH)) for s in sorted(fleet.ready)}
+    assert min(loads[s] for s in range(11, 16)) > 0 and max(loads.values()) <= 30.0
+
+
+@pytest.mark.parametrize("count", [2, 3, 5])
+def test_each_server_is_one_assigners_and_slices_of_the_dead_bring_theirs(count: int) -> None:
+    for held in (1, count):
+        owners = []
+        for k in range(count):
+            director = Director(settings(instance=k, instances=count, slices=4 * count))
+            director.handle(START, [api.SliceCharge(n, True) for n in range(4 * held)])
+            owners.append([director.ours(sid) for sid in range(500)])
+        assert {sum(each) for each in zip(*owners, strict=True)} == {held}
+
+
+def test_who_brings_a_full_server_most_of_its_load_sheds_most_of_it() -> None:
+    world = World(servers=tuple(range(1, 9)), instances=5, slices=48, report_names=("busy",))
+    world.heat = {n: 10.0 if world.tables[n] == {1: 1.0} else 0.5 for n in world.heat}
+    world.run(2)
+    assert sum(world.heat[n] for n in world.tables if world.main(n) == {1}) <= 30.0
