Module: a stream of urgent changes no longer puts ordinary ones off without end

At 27.3 s 34 moves went out at once, all that the plan had. So for 21 s after a release nothing left the full tasks.

Cause: publish() set next_publish a pace ahead (2.5 s with five assigners) after every message, urgent ones too; with 200 tasks one is lost, cold or ejected every half second. Excluded: the channel (waiting 0 of 524,100 lines at both times), late reports (not stale), the rest after a move (rests 0), the limit of messages (20 within 10 s; at most 15 went).

Change: urgent changes put ordinary ones off for 4 s at most. A test with a server draining each half second fails without.

--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -16,6 +16,7 @@
 
 ROUND_S = 0.25  # how often health is judged and urgent changes may go out
 PUBLISH_S = 1.0  # pace of ordinary changes
+PUT_OFF_S = 4.0  # and for how long urgent changes may put them off
 WINDOW_S = 3.0  # memory of heat, rates and reported load
 FULL = 0.85  # share of capacity above which a server sheds slices
 ROOM = 0.75  # share of capacity up to which an alternate takes more
@@ -125,7 +126,8 @@
         self.actions: list[api.Action] = []
         self.urgent = self.levels_due = self.rejoined = False  # rejoined: a proxy that knows no withdrawals
         self.next_watch = 0.0 if settings.list_is_asked else math.inf
-        self.next_publish = self.waiting = 0.0  # waiting: lines in the channel or on their way
+        self.next_publish = self.ordinary_at = 0.0
+        self.waiting = 0.0  # lines in the channel or on their way
         self.marks: dict[int, tuple[float, float, set[int]]] = {}  # when sent, lines each, not yet applied by
         self.sent: list[float] = []  # times of past publishes, each at most one message a proxy
         self.withdrawn: set[int] = set()  # servers shut out of all tables of this assigner's slices
@@ -408,8 +410,8 @@
         return self.orders[key]
 
     def ours(self, sid: int) -> bool:
-        """Whether a server is among those whose room this assigner has alone: as many as its part of the slices,
-        so that those of the dead count too."""
+        """Whether a server is among those whose room this assigner has alone: as many as its part of the
+        slices, so that those of the dead count too."""
         turn = zlib.crc32(f"{sid}".encode()) / 2**32 - self.set.instance / self.set.instances
         return turn % 1 < len(self.slices) / max(1, self.set.slices)
 
@@ -425,9 +427,9 @@
         warm = {sid for sid in usable if self.warmth(sid) >= 1}
         raw = usable - warm
         lame = all(self.warmth(sid) < 1 for sid in can)  # then nobody need be served, and none may fall over
-        # All assigners see the same room and the same excess. Each takes its part of both, where that holds some
-        # slices whole. Smaller parts stay empty and the fleet's room unused: there each has all the room of some
-        # servers and none of the others', and sheds as its part of the load.
+        # All assigners see the same room and the same excess. Each takes its part of both, where that holds
+        # some slices whole. Smaller parts stay empty and the fleet's room unused: there each has all the room
+        # of some servers and none of the others', and sheds as its part of the load.
         even = self.set.instances == 1 or self.set.slices >= WHOLE * len(can) * self.set.instances
         parts = {sid: 1 / self.set.instances if even else float(self.ours(sid)) for sid in can}
         part: dict[int, float] = {}
@@ -625,7 +627,10 @@
             self.marks[number] = self.now, len(orders) + self.set.channel_head_lines, set(self.proxies)
             self.actions.extend(orders)
             self.sent.append(self.now)
-            self.next_publish = self.now + max(1.0, self.set.instances / 2) * PUBLISH_S
+            # Urgent changes put ordinary ones off, yet not for ever: in a large fleet they never stop.
+            self.ordinary_at = self.now if ordinary else self.ordinary_at
+            pace = max(1.0, self.set.instances / 2) * PUBLISH_S
+            self.next_publish = min(self.now + pace, self.ordinary_at + max(pace, PUT_OFF_S))
 
     def shut_out(self, plan: Plan, must: list[int], budget: float, ample: float) -> list[api.Action]:
         """Withdraws lost servers, at one line a proxy, where rewriting their tables would outlast the grace
--- a/tests/test_several.py
+++ b/tests/test_several.py
@@ -86,3 +86,14 @@
     world.heat = {n: 10.0 if world.tables[n] == {1: 1.0} else 0.5 for n in world.heat}
     world.run(2)
     assert sum(world.heat[n] for n in world.tables if world.main(n) == {1}) <= 30.0
+
+
+def test_a_stream_of_urgent_changes_does_not_put_ordinary_ones_off_for_ever() -> None:
+    world = World(servers=tuple(range(1, 25)), instances=5, slices=96, report_names=("busy",))
+    world.run(10)
+    for sid in range(2, 16):  # a server drains each half second
+        if sid == 4:
+            world.heat = {n: 10.0 if world.main(n) == {1} else 0.5 for n in world.heat}
+        world.tell(api.ServerList("delta", sid, (server(sid, api.DRAINING),)))
+        world.run(0.5)
+    assert sum(world.main(n) == {1} for n in world.tables if world.heat[n] > 1) <= 1  # of four, too hot for it
