Tests: faults known to be red run, are named, and let nothing else through

Change: tests/conftest.py reads KNOWN-RED.txt (test | cause | issue). Those tests run as strict expected failures and are printed by name; a test that passes, a line that names no test, a malformed, doubled or fourth one fail the run, also where it is handed out to workers. The file is absent: nothing is known to be red.

--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,47 @@
+"""What KNOWN-RED.txt does to a run, and what it does not let through."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+pytest_plugins = ["pytester"]
+TESTS = """
+import pytest
+
+def test_red(): assert False
+def test_green(): pass
+@pytest.mark.parametrize("k", [1, 2])
+def test_some(k): assert k == 1
+"""
+MORE = "".join(f"test_it.py::t{k} | one too many | #1\n" for k in (1, 2))
+RED = "test_it.py::test_red | the cause | #1\n"
+SOME = "test_it.py::test_some[2] | another | #2\n"
+
+
+@pytest.mark.parametrize(
+    ("lines", "result", "out"),
+    [
+        ("", 1, "*FAILED test_it.py::test_red*"),
+        (RED, 1, "*FAILED test_it.py::test_some[[]2]*"),  # the others count as ever
+        (RED + "\n" + SOME, 0, "*KNOWN RED: test_it.py::test_red | in KNOWN-RED.txt: the cause | #1*"),
+        (RED + SOME + "test_it.py::test_green | it passes | #3\n", 1, "*FAILED test_it.py::test_green*"),
+        (RED + SOME + "test_it.py::test_gone | no such test | #3\n", 4, "*test_it.py::test_gone names no test*"),
+        (RED + SOME + "test_gone.py::test_red | no such file | #3\n", 4, "*test_gone.py::test_red names no test*"),
+        ("test_it.py::test_red | no issue\n" + SOME, 4, "*KNOWN-RED.txt:1: not 'test id | cause | issue'*"),
+        ("test_it.py | a whole file | #1\n" + SOME, 4, "*KNOWN-RED.txt:1: not*"),
+        (RED + RED + SOME, 4, "*KNOWN-RED.txt:2: test_it.py::test_red is named twice*"),
+        (RED + SOME + MORE, 4, "*4 lines, 3 at most*"),
+    ],
+)  # fmt: skip
+def test_what_is_known_to_be_red(pytester: pytest.Pytester, lines: str, result: int, out: str) -> None:
+    pytester.makepyfile(test_it=TESTS)
+    pytester.makeconftest(Path(__file__).with_name("conftest.py").read_text())
+    Path(pytester.path / "KNOWN-RED.txt").write_text(lines)
+    ran = pytester.runpytest_subprocess("-p", "no:cacheprovider")
+    assert ran.ret == result
+    both = ran.outlines + ran.errlines
+    pytest.LineMatcher(both).fnmatch_lines([out])
+    for workers in ([] if result == 1 else ["2"]):  # and where the run is handed out
+        assert (pytester.runpytest_subprocess("-p", "no:cacheprovider", "-n", workers).ret == 0) is (result == 0)
