Node: bad orders at the end, in news, lists, calls, reloads and kept connections mended

Causes (lines as they were) and changes: - relay.Outbox.void: only what waited was void, not the call that was out. In doubt, its lines were sent again over the table of an heir. Calls keep which slices left meanwhile; their lines are not returned. - relay.Outbox.seen: a line missing from a look that a pause had ended counted as removed. It does only where a sign of life ended it. - standing.settled at a pause of 0.15 s: proxies and slices not told yet counted as gone, a drain in between left them out; lines after 0.03 s were dropped as stray. What comes is passed on at a pause, what lacks counts as gone at the sign of life alone, late lines are heard. A kind of news that is not known was taken for that sign (messages.read_news). A table read anew kept none of our own lines still on their way. - service._members, _news: a line that can't be read was passed over and the version went on, so its changes were lost. The stream is dropped and dialled from the version held. - messages.Members.kind: an older whole list, of an agent that is behind, brought draining tasks back. It undoes nothing for 6 s, the protocol's longest delay; after that it is taken as a count begun anew (listing.py, pure). - watch.stands: the old stream ended at the new one's head. It ends at its first line. - service.stop: calls, rounds, probes and signs of life went on until the reactor stopped. lifecycle.py, pure: nothing new begins. - service.reload: the file's settings were half taken (self.config), without a word. Two addresses move, all else that differs is named. - http.Exchange.reusable: bytes beyond a probe's answer were read as the next one's. Such a connection ends. - service._forget: names of stored lines were forgotten while the first list was long in coming, and those lines never removed. - listener: a flood took ever more connections in one turn (numberAccepts), 266 descriptors of 256. 20 a turn, and room left for them.

--- a/puffintide/assigner/runtime.py
+++ b/puffintide/assigner/runtime.py
@@ -146,6 +146,10 @@
     def busy(self) -> bool:
         return self.listed and bool(self._events)
 
+    def waiting_servers(self) -> set[int]:
+        """Those that events name which the module has not been handed yet."""
+        return {e.server for e in self._events if isinstance(e, api.StoredLine)}
+
     def tick(self, now: float) -> Effects | None:
         """Hands the waiting events and due timers to the module; None when there was nothing."""
         while self._timers and self._timers[0][0] <= now:
--- a/puffintide/node/calls.py
+++ b/puffintide/node/calls.py
@@ -11,9 +11,9 @@
 from typing import Any
 
 from puffintide.node.config import Address
-from puffintide.node.look import Look, Tables
+from puffintide.node.look import Look
 from puffintide.node.once import Once, Outcome
-from puffintide.node.relay import Outbox, Verdict
+from puffintide.node.relay import Outbox, Tables, Verdict
 
 TARGET = "/api/txn"
 CONNECT_S = 0.5
@@ -27,11 +27,15 @@
         self._due: Any = None
         self._not_before = 0.0
         self._began = 0.0
+        self._stopped: Callable[[], None] | None = None
+        self.calling = False  # a call is on its way, and no answer has come
         self.calls = 0
         self.took_most_s = 0.0
 
     def kick(self) -> None:
         """Sends what waits, when it may go."""
+        if self._stopped is not None:
+            return
         wait = self.outbox.ready_in(self.reactor.seconds())
         if wait is None:
             return
@@ -42,19 +46,32 @@
             return
         call = self.outbox.next()
         self.calls += 1
+        self.calling = True
         self._began = self.reactor.seconds()
         request = ("POST", TARGET, call.body)
         Once(self.reactor, self.address, request, self._answered, CONNECT_S, ANSWER_S, BODY_MOST)
 
+    def stop(self, done: Callable[[], None]) -> None:
+        """No call begins from here on. done() once the one on its way has ended, now if there is none."""
+        self._stopped = done
+        if self._due is not None and self._due.active():
+            self._due.cancel()
+        if not self.calling:
+            done()
+
     def _answered(self, outcome: Outcome) -> None:
         now = self.reactor.seconds()
+        self.calling = False
+        if self._stopped is not None:
+            self._stopped()
+            return
         if outcome.how == "answer":
             self.took_most_s = max(self.took_most_s, now - self._began)
         self._go_on(now, self.outbox.answered(now, outcome.how, outcome.status, outcome.body))
 
-    def _looked(self, tables: Tables | None) -> None:
+    def _looked(self, tables: Tables | None, whole: bool) -> None:
         now = self.reactor.seconds()
-        self._go_on(now, self.outbox.looked(now, tables))
+        self._go_on(now, self.outbox.looked(now, tables, whole))
 
     def _go_on(self, now: float, verdict: Verdict) -> None:
         if verdict.event:
@@ -67,4 +84,5 @@
         self.kick()
 
     def _look(self) -> None:
-        Look(self.reactor, self.address, self._looked)
+        if self._stopped is None:
+            Look(self.reactor, self.address, self._looked)
--- a/puffintide/node/http.py
+++ b/puffintide/node/http.py
@@ -52,7 +52,8 @@
                     pieces.append(bytes(event.data))
                 elif isinstance(event, h11.EndOfMessage):
                     self.done = True
-                    self.reusable = self._http.our_state is h11.DONE
+                    # Bytes beyond the answer would be read as that to the next request.
+                    self.reusable = self._http.our_state is h11.DONE and not self._http.trailing_data[0]
                 elif isinstance(event, h11.InformationalResponse):
                     continue
                 else:
--- a/puffintide/node/listener.py
+++ b/puffintide/node/listener.py
@@ -18,6 +18,9 @@
 LINGER_S = 0.5  # a refused connection that has not closed by then is cut
 COLLECTORS_MOST = 32  # of which the longest silent is cut, as dead ones give no sign
 DEAD_S = 3.0  # unless all were heard so lately: then the newest is, so that none that reports is displaced
+# Connections taken in one turn of the reactor, which by itself takes ever more of them in a flood: those that are
+# cut to make room close a turn later. It adds 20 to what is set here before that is set again.
+ACCEPTS = 20
 REFUSED = b'{"msg":"refused"}\n'
 
 
@@ -127,6 +130,7 @@
         self.reactor, self.zones, self._report, self.log = reactor, zones, report, log
         self.strangers_most = strangers_most
         self.ready = False
+        self.port: Any = None
         self.strangers: dict[Peer, None] = {}  # oldest first
         self.collectors: dict[Peer, None] = {}
         self.counts = {"came": 0, "refused": 0, "spoilt": 0, "reports": 0, "closed": 0}
@@ -134,7 +138,8 @@
     def buildProtocol(self, addr: Any) -> Peer:
         return Peer(self)
 
-    def start(self) -> None:
+    def start(self, port: Any) -> None:
+        self.port = port
         self._sweep()
 
     def serve(self) -> None:
@@ -144,8 +149,15 @@
             if peer.asked:
                 peer.pong()
 
+    def stop(self) -> None:
+        """No further sign of life, and no report is taken."""
+        self.ready = False
+        for peer in [*self.strangers, *self.collectors]:
+            peer.transport.abortConnection()
+
     def came(self, peer: Peer) -> None:
         self.counts["came"] += 1
+        self.port.numberAccepts = ACCEPTS
         self.strangers[peer] = None
         if len(self.strangers) > self.strangers_most:
             self.counts["closed"] += 1
--- a/puffintide/node/look.py
+++ b/puffintide/node/look.py
@@ -12,32 +12,30 @@
 from puffintide.node.config import Address
 from puffintide.node.http import Exchange, Unreadable
 from puffintide.node.lines import Lines, TooLong
-from puffintide.node.standing import Standing
+from puffintide.node.standing import Standing, Tables
 from puffintide.node.watch import LINE_MOST
 
 CONNECT_S = 0.5
-QUIET_S = 0.06  # after so long without a byte all that stands has been told
+QUIET_S = 0.06  # after so long without a line what stands has most likely been told
 MOST_S = 0.6
 
-Tables = dict[int, dict[str, float]]  # by slice: shares by host
-
 
 class Look(Protocol):
-    """Calls done(tables in charge), or done(None) if none could be had."""
+    """Calls done(tables in charge, whether a sign of life ended them); done(None, False) if none could be had."""
 
     transport: Any
 
-    def __init__(self, reactor: Any, address: Address, done: Callable[[Tables | None], None]) -> None:
+    def __init__(self, reactor: Any, address: Address, done: Callable[[Tables | None, bool], None]) -> None:
         self.reactor, self.done = reactor, done
         self.exchange = Exchange(f"{address[0]}:{address[1]}", 0)
         self.lines, self.standing = Lines(LINE_MOST), Standing()
         self.standing.opened()
         self.ended = False
         self.quiet: Any = None
-        self.most = reactor.callLater(MOST_S, self._end, False)
+        self.most = reactor.callLater(MOST_S, self._end, None)
         factory = ClientFactory.forProtocol(lambda: self)
         factory.noisy = False
-        factory.clientConnectionFailed = lambda *_: self._end(False)  # type: ignore[attr-defined]
+        factory.clientConnectionFailed = lambda *_: self._end(None)  # type: ignore[attr-defined]
         reactor.connectTCP(*address, factory, timeout=CONNECT_S)
 
     def connectionMade(self) -> None:
@@ -54,22 +52,22 @@
             lines = [line for piece in self.exchange.receive(data) for line in self.lines.feed(piece)]
             told = [m.read_news(line) for line in lines]
         except (Unreadable, TooLong, m.Spoilt, m.Unreadable):
-            self._end(False)
+            self._end(None)
             return
         for news in told:
-            if news is None:
-                self._end(True)
+            if isinstance(news, m.Sign):
+                self._end(self.standing.tables, whole=True)
                 return
             self.standing.hear(news)
         if told:  # before the first line nothing has been told, however long the pause
             if self.quiet is not None and self.quiet.active():
                 self.quiet.cancel()
-            self.quiet = self.reactor.callLater(QUIET_S, self._end, True)
+            self.quiet = self.reactor.callLater(QUIET_S, self._end, self.standing.tables)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self._end(False)
+        self._end(None)
 
-    def _end(self, whole: bool) -> None:
+    def _end(self, tables: Tables | None, whole: bool = False) -> None:
         if self.ended:
             return
         self.ended = True
@@ -78,4 +76,4 @@
                 timer.cancel()
         if self.transport is not None:
             self.transport.abortConnection()
-        self.done(self.standing.settled().given if whole else None)
+        self.done(tables, whole)
--- a/puffintide/node/messages.py
+++ b/puffintide/node/messages.py
@@ -145,6 +145,10 @@
     share: float
 
 
+class Sign(msgspec.Struct, frozen=True):
+    """A sign of life: all before it has been told."""
+
+
 class _News(msgspec.Struct, frozen=True):
     type: str = ""
     object: msgspec.Raw = msgspec.Raw(b"{}")
@@ -161,9 +165,11 @@
 }
 
 
-def read_news(line: bytes) -> News | None:
-    """A line of the relay's watch; None is a sign of life, or a kind that is not known. Raises as above."""
+def read_news(line: bytes) -> News | Sign | None:
+    """A line of the relay's watch; None is of a kind that is not known. Raises as above."""
     row = _decode(_news, line)
+    if not row.type:
+        return Sign()
     decoder = _objects.get(row.type)
     if decoder is None:
         return None
@@ -197,17 +203,6 @@
     entries: list[Entry]
     bad: list[str]  # reasons of those passed over
 
-    def kind(self, version: int, known: bool = False) -> str | None:
-        """As the module is told it, where the list held has this version; None: nothing new. A whole list with
-        entries that can't be read is told as changes: such an entry is not one that is missing."""
-        if known:
-            return "cached"
-        if self.whole and not self.bad:
-            return "full"
-        if not self.whole and self.seq <= version:
-            return None
-        return "delta" if self.entries or self.bad else None
-
 
 STATES = {"left": api.GONE, "active": api.READY, "leaving": api.DRAINING}
 _members = msgspec.json.Decoder(_Members)
--- a/puffintide/node/probe.py
+++ b/puffintide/node/probe.py
@@ -57,6 +57,9 @@
     def dataReceived(self, data: bytes) -> None:
         if self.ended:
             return
+        if self.exchange.done:  # nothing was asked: what comes next could not be told from this
+            self.drop()
+            return
         self.heard = True
         try:
             self.body += self.exchange.receive(data)
--- a/puffintide/node/relay.py
+++ b/puffintide/node/relay.py
@@ -24,6 +24,7 @@
 INVALID_MOST = 3  # times that a call is turned away as none before its orders are given up
 
 Key = tuple[str, int, int]
+Tables = Mapping[int, Mapping[str, float]]  # by slice: shares by host
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +81,12 @@
 class Call:
     orders: list[Order]
     body: bytes
+    void: set[int] = field(default_factory=set)  # slices that left our charge since it went out
+
+    def holds(self, order: Order) -> bool:
+        """Whether it may be sent again. A slice that was taken may have been given anew meanwhile, with a table
+        that our former lines must not be laid over."""
+        return order.line is None or order.line[0] not in self.void
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,12 +122,14 @@
             self._waiting[order.key] = order
 
     def void(self, number: int) -> None:
-        """A slice left our charge: what waits for it is void."""
+        """A slice left our charge: what waits for it is void, and what is out is not sent again."""
+        if self._out is not None:
+            self._out.void.add(number)
         self._waiting = {k: o for k, o in self._waiting.items() if not (k[0] == "line" and k[1] == number)}
 
     def servers(self, number: int) -> set[int]:
         """Those that lines of a slice, waiting or out, are for."""
-        out = [o.key for o in self._out.orders] if self._out is not None else []
+        out = [o.key for o in self._out.orders if self._out.holds(o)] if self._out is not None else []
         return {k[2] for k in [*self._waiting, *out] if k[0] == "line" and k[1] == number}
 
     def __len__(self) -> int:
@@ -187,11 +196,12 @@
         fields = {"how": how, "status": status, "orders": size, "body": text}
         return Verdict(pause, look, "call_unsure", fields)
 
-    def looked(self, now: float, tables: Mapping[int, Mapping[str, float]] | None) -> Verdict:
-        """What stands after a call in doubt; None: it could not be had."""
+    def looked(self, now: float, tables: Tables | None, whole: bool = True) -> Verdict:
+        """What stands after a call in doubt; None: it could not be had. whole: all of it was told, by the
+        protocol's own sign; else a pause ended it, and lines may be missing."""
         if tables is not None:
             self._again_s = AGAIN_S
-            return Verdict(event="call_settled", fields={"carried": self.seen(now, tables)})
+            return Verdict(event="call_settled", fields={"carried": self.seen(now, tables, whole)})
         self._looks += 1
         if self._looks < LOOKS_MOST:
             return Verdict(self._pause(), look=True)
@@ -202,9 +212,9 @@
         pause, self._again_s = self._again_s, min(2 * self._again_s, AGAIN_MOST_S)
         return pause
 
-    def _return(self, back: list[Order]) -> None:
-        """Orders that are to be sent again, before those that wait, unless a newer wish waits."""
-        rest = {o.key: o for o in back if o.key not in self._waiting}
+    def _return(self, call: Call, back: list[Order]) -> None:
+        """Orders of a call that are to be sent again, before those that wait, unless a newer wish waits."""
+        rest = {o.key: o for o in back if call.holds(o) and o.key not in self._waiting}
         self._waiting = rest | self._waiting
 
     def _end(self) -> Call:
@@ -226,11 +236,11 @@
         bad, rest = call.orders[accepted], call.orders[accepted + 1 :]
         if bad.key not in self._doubted:
             self._doubted.add(bad.key)
-            self._return([*rest, bad])
+            self._return(call, [*rest, bad])
             return None
         self._doubted.discard(bad.key)
         self.dropped += 1
-        self._return(rest)
+        self._return(call, rest)
         return bad
 
     def unsure(self, now: float, carried: bool) -> None:
@@ -238,23 +248,27 @@
         call = self._end()
         if carried:
             self._sent.append(now)
-        self._return(call.orders)
+        self._return(call, call.orders)
 
     @property
     def tells(self) -> bool:
         """Whether the store's tables tell if the call that is out was carried out."""
         return self._out is not None and any(o.line for o in self._out.orders)
 
-    def seen(self, now: float, tables: Mapping[int, Mapping[str, float]]) -> bool:
+    def seen(self, now: float, tables: Tables, whole: bool) -> bool:
         """The tables in charge, seen after the call that is out: it was carried out whole, or not at all. Missing
-        tables tell nothing; where all are, it counts as not carried out, as an order must not be lost."""
+        tables tell nothing; where all are, it counts as not carried out, as an order must not be lost. Nor does a
+        line that is missing tell that it was taken away, unless all was told."""
         assert self._out is not None
-        lines = [o.line for o in self._out.orders if o.line is not None and o.line[0] in tables]
-        done = bool(lines) and all(abs(tables[t].get(host, 0.0) - share) < 1e-3 for t, host, share in lines)
+        call = self._out
+        lines = [o.line for o in call.orders if o.line is not None and call.holds(o) and o.line[0] in tables]
+        shown = any(share > 0 for *_, share in lines)
+        agree = all(abs(tables[t].get(host, 0.0) - share) < 1e-3 for t, host, share in lines)
+        done = agree and (shown or (whole and bool(lines)))
         if done:
-            self.taken(now, len(self._out.orders))
+            self.taken(now, len(call.orders))
         else:
-            self.unsure(now, carried=False)
+            self.unsure(now, carried=not whole)
         return done
 
     def invalid(self) -> bool:
@@ -262,7 +276,7 @@
         call = self._end()
         self._invalid += 1
         if self._invalid < INVALID_MOST:
-            self._return(call.orders)
+            self._return(call, call.orders)
             return False
         self._invalid = 0
         self.dropped += len(call.orders)
@@ -270,7 +284,8 @@
 
     def restore(self) -> None:
         """Turned away for now: all waits on."""
-        self._return(self._end().orders)
+        call = self._end()
+        self._return(call, call.orders)
 
 
 @dataclass(frozen=True, slots=True)
--- a/puffintide/node/service.py
+++ b/puffintide/node/service.py
@@ -14,11 +14,15 @@
 from puffintide.node import messages as m
 from puffintide.node import relay
 from puffintide.node.calls import Caller
-from puffintide.node.config import Address, Config, ConfigError, address, load
+from puffintide.node.config import Config, ConfigError, address, load
+from puffintide.node.http import Unreadable
+from puffintide.node.lifecycle import Lifecycle, reloaded
 from puffintide.node.listener import Listener
+from puffintide.node.listing import BEHIND_S, Listing
 from puffintide.node.names import Hosts
+from puffintide.node.news import NewsFeed
 from puffintide.node.probe import Prober
-from puffintide.node.standing import Changes, Standing, read_anew
+from puffintide.node.standing import Changes, read_anew
 from puffintide.node.watch import Watch
 from puffintide.policy import Director
 from puffintide.wire.messages import Charge, Held
@@ -26,17 +30,16 @@
 
 EPOCH_S = 1e6  # added to the monotonic clock: times before the machine started are still above 0
 TICK_S = 0.004  # what comes in within so long is one batch
-SETTLE_S = 0.15  # after so long without a line, what stands at the relay has been told
-GIVEN_S = 0.03  # and the lines of a slice just given
 READY_S = 3.0  # after so long without news of the relay, signs of life are given all the same
 LIST_SILENT_S = 3.5  # discovery writes at least every 2 s
-NEWS_SILENT_S = 3.0  # and the relay every second
+STOP_S = 0.2  # the most that the end waits for a call on its way
 STATS_S = 5.0
 FORGET_S = 20.0
 PROBES_OVER_S = 0.15  # a round's probes go out over so long, and are answered before the next round begins
 RECOVER_S = 0.25  # pause of the module's rounds after one that failed
 TOLD_S = 2.0  # a line sent so lately may not be in what stands yet
 RESERVE = 64  # descriptors for discovery, relay, collectors and the process itself, beside those for probes
+BURST = 40  # taken in one turn, before those that give way to them are closed
 STRANGERS_MOST = 400  # more cost memory, and none of them is owed a second
 
 
@@ -55,30 +58,24 @@
         self.hosts = Hosts()
         self.runtime = Runtime(self.settings)
         self.outbox = relay.Outbox(self.settings.messages_most, self.settings.messages_span_s)
-        self.standing = Standing()
         self.caller = Caller(reactor, config.relay, self.outbox, log)
         tasks = (
             len(config.known["hosts"]) if config.known and isinstance(config.known.get("hosts"), list) else 0
         )
-        room = max(16, min(config.sockets - RESERVE - 2 * tasks, STRANGERS_MOST))
+        room = max(16, min(config.sockets - RESERVE - 2 * tasks - BURST, STRANGERS_MOST))
         self.listener = Listener(reactor, self.names.zones, self._report, log, room)
-        self.news_watch = Watch(
-            reactor, config.relay, lambda: "/api/watch", self._news_opened, self._news, self._news_lost,
-            NEWS_SILENT_S,
-        )  # fmt: skip
+        self.news = NewsFeed(reactor, config.relay, self._changes, lambda: reactor.callLater(0, self._serve), log)
         self.list_watch = Watch(
             reactor, config.discovery, self._list_target, self._list_opened, self._members, self._list_lost,
             LIST_SILENT_S,
         )  # fmt: skip
-        self.version = 0
+        self.lifecycle, self.listing = Lifecycle(), Listing()
+        self.port: Any = None
         self.probers: dict[int, Prober] = {}
         self._to_probe: list[int] = []
         self._probe_pause_s = 0.0
         self._tick_at: Any = None
-        self._settle_at: Any = None
-        self._settled_once = False
         self._sent: dict[relay.Key, float] = {}  # lines handed to the outbox lately
-        self._stopping = False
         self.rounds = 0
         self.round_most_s = self.round_cpu_s = self.late_most_s = 0.0
         self.reports = {"heard": 0, "heat": 0}
@@ -90,12 +87,12 @@
 
     def start(self) -> None:
         host, port = self.config.listen
-        self.reactor.listenTCP(port, self.listener, backlog=512, interface=host)
-        self.listener.start()
+        self.port = self.reactor.listenTCP(port, self.listener, backlog=512, interface=host)
+        self.listener.start(self.port)
         if self.config.known is not None:
             self._take_members(json.dumps(self.config.known).encode(), known=True)
         self.list_watch.start()
-        self.news_watch.start()
+        self.news.watch.start()
         self.reactor.callLater(READY_S, self._serve)
         self.reactor.callLater(STATS_S, self._stats)
         self.reactor.callLater(FORGET_S, self._forget)
@@ -103,43 +100,54 @@
         self.log("started", listen=f"{host}:{port}", pid=os.getpid(), slices=self.settings.slices)
 
     def _serve(self) -> None:
-        if not self.listener.ready:
-            self.log("serving", listed=self.runtime.listed, news=self._settled_once)
+        if self.lifecycle.ready():
+            self.log("serving", listed=self.runtime.listed, news=self.news.settled)
             self.listener.serve()
 
     def reload(self) -> None:
         """SIGHUP. A file that can't be used leaves what is in force."""
+        if not self.lifecycle.running:
+            return
         try:
             new = load(self.path)
         except ConfigError as error:
             self.log("reload_refused", reason=str(error))
             return
-        if new.listen != self.config.listen:
-            self.log("reload_ignored", key="listen", reason="the address stays until a restart")
-        self.config = new
+        self.config, waiting = reloaded(self.config, new)
+        for key in waiting:
+            self.log("reload_ignored", key=key, reason="stays as it is until a restart")
         self.log("reloaded", discovery=str(new.discovery), relay=str(new.relay))
-        self._move(new.discovery, new.relay)
-
-    def _move(self, discovery: Address, store: Address) -> None:
-        self.caller.address = store
-        self.news_watch.move(store)
-        self.list_watch.move(discovery)
+        self.caller.address = new.relay
+        self.news.watch.move(new.relay)
+        self.list_watch.move(new.discovery)
 
     def stop(self) -> None:
-        """SIGTERM. A call in hand is let end, as that costs no time."""
-        if self._stopping:
+        """SIGTERM. Nothing new begins: no round, no call, no probe, no stream, and who connects is refused. A call
+        on its way is let end, as that costs no time."""
+        if not self.lifecycle.terminate():
             return
-        self._stopping = True
         self.log("stopping", waiting=len(self.outbox))
-        self.reactor.callLater(0.2 if self.outbox.busy else 0.0, self.reactor.stop)
+        self.port.stopListening()
+        self.listener.stop()
+        self.news.stop()
+        self.list_watch.stop()
+        for prober in self.probers.values():
+            prober.stop()
+        self._tick_stop()
+        self.reactor.callLater(STOP_S, self._end)
+        self.caller.stop(lambda: self.reactor.callLater(0, self._end))
+
+    def _end(self) -> None:
+        if self.lifecycle.ended():
+            self.reactor.stop()
 
     # Discovery ----------------------------------------------------------------------------------
 
     def _list_target(self) -> str:
-        return f"/catalog/members?follow=1&since={self.version}"
+        return f"/catalog/members?follow=1&since={self.listing.version}"
 
     def _list_opened(self) -> None:
-        self.log("list_watch", since=self.version)
+        self.log("list_watch", since=self.listing.version)
 
     def _list_lost(self, why: str) -> None:
         self.log("list_watch_lost", reason=why)
@@ -153,61 +161,31 @@
             told = m.read_members(text, self.names, self.hosts, self.wall() * 1000)
         except (m.Spoilt, m.Unreadable) as error:
             self.log("list_refused", reason=str(error))
+            if not known:  # its changes are lost with it: they are asked for again, from the version held
+                raise Unreadable("a list that can't be read") from None
             return
-        kind = told.kind(self.version, known)
+        behind = self.listing.behind_since
+        kind = self.listing.take(self.now(), told, known)
         if kind is None:
+            if behind != self.listing.behind_since:
+                self.log("list_behind", version=told.seq, held=self.listing.version)
+                self.reactor.callLater(BEHIND_S, self._list_behind)
             return
         news = ListNews(kind, told.seq, told.entries)
         for reason in [*told.bad, *self.runtime.news(self.now(), news)][:5]:
             self.log("entry_refused", reason=reason)
-        self.version = told.seq
         for number in sorted(self.probers.keys() - self.runtime.entries.keys()):
             self.probers.pop(number).stop()
         states = {self.hosts.name(e.id): e.state for e in told.entries if e.state != api.READY}
         self.log("list", kind=kind, version=told.seq, entries=len(told.entries), states=states)
         self._schedule()
 
-    # The relay's news ---------------------------------------------------------------------------
-
-    def _news_opened(self) -> None:
-        self.log("news_watch")
-        self.standing.opened()
-        self._settle_in(SETTLE_S)
+    def _list_behind(self) -> None:
+        """An agent that has not caught up is asked once more for all it has."""
+        if self.listing.behind_since is not None and self.list_watch.up is not None:
+            self.list_watch.up.drop("behind")
 
-    def _news_lost(self, why: str) -> None:
-        self.log("news_watch_lost", reason=why)
-        if self.standing.unsettled:
-            self._settle_stop()
-
-    def _news(self, line: bytes) -> None:
-        try:
-            news = m.read_news(line)
-        except (m.Spoilt, m.Unreadable) as error:
-            self.log("news_refused", reason=str(error))
-            return
-        if news is None:
-            if self.standing.unsettled:
-                self._settled()
-            return
-        self._changes(self.standing.hear(news))
-        if self.standing.unsettled:
-            self._settle_in(SETTLE_S if self.standing.opening else GIVEN_S)
-
-    def _settle_in(self, after_s: float) -> None:
-        self._settle_stop()
-        self._settle_at = self.reactor.callLater(after_s, self._settled)
-
-    def _settle_stop(self) -> None:
-        if self._settle_at is not None and self._settle_at.active():
-            self._settle_at.cancel()
-
-    def _settled(self) -> None:
-        self._settle_stop()
-        changes = self.standing.settled()
-        if not self._settled_once:
-            self._settled_once = True
-            self.reactor.callLater(0, self._serve)
-        self._changes(changes)
+    # The relay's news ---------------------------------------------------------------------------
 
     def _changes(self, changes: Changes) -> None:
         if not changes:
@@ -226,6 +204,8 @@
             self.runtime.taken(now, number)
         for number, table in sorted(changes.given.items()):
             self._given(now, number, table)
+        for number, lines in sorted(changes.late.items()):
+            self._late(now, number, lines)
         for number, table in sorted(changes.again.items()):
             self._compare(now, number, table)
         for news in changes.applied:
@@ -234,7 +214,7 @@
             self.log(
                 "standing",
                 taken=len(changes.taken), given=len(changes.given), again=len(changes.again),
-                proxies=len(self.standing.proxies), slices=len(self.standing.slices),
+                proxies=len(self.news.standing.proxies), slices=len(self.news.standing.slices),
             )  # fmt: skip
         self._schedule()
 
@@ -243,16 +223,31 @@
         lines = [Held(self.hosts.number(host), share) for host, share in sorted(table.items())]
         self.runtime.charge(now, Charge(number, 1, self.settings.instance, lines))
 
+    def _ours(self, number: int) -> set[int]:
+        """Servers whose lines of a slice are on their way, or were sent so lately that the store may be behind."""
+        late = self.reactor.seconds() - TOLD_S
+        return {k[2] for k, at in self._sent.items() if k[1] == number and at > late} | self.outbox.servers(number)
+
+    def _late(self, now: float, number: int, lines: dict[str, float]) -> None:
+        """Further lines of a table that was passed on: the store has them beside what is known."""
+        ours = self._ours(number)
+        told = {self.hosts.number(host): share for host, share in sorted(lines.items())}
+        self.log("lines_late", slice=number, lines=len(lines))
+        self.runtime.hear(now, *(api.StoredLine(number, s, w) for s, w in told.items() if s not in ours))
+
     def _compare(self, now: float, number: int, table: dict[str, float]) -> None:
         stored = {self.hosts.number(host): share for host, share in table.items() if share > 0}
         decider = self.runtime.decider
         view = decider.slices.get(number) if isinstance(decider, Director) else None
         believed = view.lines if view is not None else {}
-        late = self.reactor.seconds() - TOLD_S
-        sent = {k[2] for k, at in self._sent.items() if k[1] == number and at > late}
-        if read_anew(stored, believed, sent | self.outbox.servers(number)):
+        ours = self._ours(number)
+        if read_anew(stored, believed, ours):
             self.log("table_differs", slice=number, stored=len(stored), believed=len(believed))
-            self._given(now, number, table)
+            kept = {s: share for s, share in believed.items() if s in ours}
+            anew = {s: share for s, share in stored.items() if s not in ours} | kept
+            self.runtime.charge(
+                now, Charge(number, 1, self.settings.instance, [Held(s, w) for s, w in sorted(anew.items())])
+            )
 
     # Collectors and probes ----------------------------------------------------------------------
 
@@ -275,7 +270,7 @@
     def _probe_next(self) -> None:
         """One after another with a pause, so that answers are read, and timed, in between: sent together, the last
         would be timed with the work on the others' answers in it."""
-        if not self._to_probe or self._stopping:
+        if not self._to_probe or not self.lifecycle.running:
             return
         server = self._to_probe.pop(0)
         if self._to_probe:
@@ -304,7 +299,13 @@
 
     # Ticks --------------------------------------------------------------------------------------
 
+    def _tick_stop(self) -> None:
+        if self._tick_at is not None and self._tick_at.active():
+            self._tick_at.cancel()
+
     def _schedule(self, after_s: float = TICK_S) -> None:
+        if not self.lifecycle.running:
+            return
         if self._tick_at is not None and self._tick_at.active():
             if self._tick_at.getTime() <= self.reactor.seconds() + after_s:
                 return
@@ -353,7 +354,7 @@
                     withdrawals=[o.text.decode() for o in orders if o.key[0] == "server"][:5],
                     after_ms=round((self.now() - effects.heard_at) * 1000, 2),
                 )  # fmt: skip
-        if effects.probes and self.standing.in_service:
+        if effects.probes and self.news.standing.in_service:
             idle = not self._to_probe
             self._to_probe += effects.probes
             self._probe_pause_s = PROBES_OVER_S / len(self._to_probe)
@@ -368,7 +369,7 @@
         """What the module has forgotten is forgotten here."""
         self.reactor.callLater(FORGET_S, self._forget)
         decider = self.runtime.decider
-        kept = set(self.runtime.entries)
+        kept = set(self.runtime.entries) | self.runtime.waiting_servers()
         if isinstance(decider, Director):
             kept |= decider.servers.keys()
             for view in decider.slices.values():
@@ -390,7 +391,7 @@
             servers=len(self.runtime.entries), hosts=len(self.hosts), probers=len(self.probers),
             reports=dict(self.reports), peers=dict(self.listener.counts),
             calls=self.caller.calls, unsure=self.outbox.unsure_calls, waiting=len(self.outbox),
-            call_most_ms=round(self.caller.took_most_s * 1000, 1), stray=self.standing.stray,
+            call_most_ms=round(self.caller.took_most_s * 1000, 1), stray=self.news.standing.stray,
         )  # fmt: skip
         self.round_most_s = self.late_most_s = self.caller.took_most_s = 0.0
 
--- a/puffintide/node/watch.py
+++ b/puffintide/node/watch.py
@@ -25,7 +25,7 @@
         self.owner = owner
         self.exchange = Exchange(f"{address[0]}:{address[1]}", 0)
         self.lines = Lines(LINE_MOST)
-        self.open = self.ended = False
+        self.ended = False
         self.quiet = 0  # checks since anything came
         self.why = ""
         factory = ClientFactory.forProtocol(lambda: self)
@@ -46,11 +46,8 @@
         self.quiet = 0
         try:
             pieces = self.exchange.receive(data)
-            if not self.open and self.exchange.status is not None:
-                if self.exchange.status != 200:
-                    raise Unreadable(f"status {self.exchange.status}")
-                self.open = True
-                self.owner.stands(self)
+            if self.exchange.status not in (None, 200):
+                raise Unreadable(f"status {self.exchange.status}")
             for piece in pieces:
                 for line in self.lines.feed(piece):
                     if not self.ended:
@@ -77,8 +74,9 @@
 
 
 class Watch:
-    """Keeps one stream standing; on a move the new one stands before the old one ends.
+    """Keeps one stream standing. It stands once its first line has come: on a move the old one is read until then.
 
+    line(bytes) raises Unreadable where the stream is of no further use: what it told is lost, and dialled for anew.
     silent_s: after so long without a byte a stream is dead. Counted in checks, so that a pause of this process
     itself does not make it look so.
     """
@@ -139,24 +137,21 @@
                     stream.drop("silent")
         self.reactor.callLater(CHECK_S, self._check)
 
-    def stands(self, stream: _Stream) -> None:
-        if stream is not self._next:
-            stream.drop("superseded")
-            return
-        old, self.up, self._next = self.up, stream, None
-        if old is not None:
-            old.drop("moved")
-        self._opened()
-
     def heard(self, stream: _Stream, line: bytes) -> None:
+        if stream is self._next:
+            old, self.up, self._next = self.up, stream, None
+            if old is not None:
+                old.drop("moved")
+            self._opened()
         if stream is self.up:
-            self._redial_s = REDIAL_S
             self._line(line)
+            self._redial_s = REDIAL_S
 
     def ended(self, stream: _Stream) -> None:
         if stream is self.up:
             self.up = None
-            self._lost(stream.why)
+            if not self._stopped:
+                self._lost(stream.why)
         elif stream is self._next:
             self._next = None
             self.reason = stream.why
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,7 +4,7 @@
 
 import json
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import h11
@@ -15,6 +15,7 @@
 from puffintide.node.config import ConfigError, parse
 from puffintide.node.http import Exchange, Unreadable
 from puffintide.node.lines import Lines, TooLong
+from puffintide.node.listing import BEHIND_S, Listing
 from puffintide.node.log import Log
 from puffintide.node.names import Hosts, Names, draw, parse_text_report, probe_end
 from puffintide.node.relay import BYTES_MOST, Order, Outbox, orders, read_answer
@@ -267,7 +268,7 @@
         added = Order(("line", 0, 2), b"{}", 1, (0, "s-2", 1.0))
         box.put([out(9), added, Order(("line", 0, 1), b"{}", 2, (0, "s-1", 0.0))])
         box.next()
-        assert box.tells and box.seen(0.0, stored) is carried  # what is missing tells nothing
+        assert box.tells and box.seen(0.0, stored, whole=False) is carried  # what is missing tells nothing
         assert len(box) == (0 if carried else 3)
     box = Outbox()
     box.put([out(1)])
@@ -275,6 +276,31 @@
     assert not box.tells
 
 
+@pytest.mark.parametrize(("whole", "carried"), [(False, False), (True, True)])
+def test_a_line_that_is_missing_tells_of_its_removal_only_where_all_was_told(whole: bool, carried: bool) -> None:
+    box = Outbox(messages_most=1, span_s=10.0)
+    box.put([Order(("line", 0, 1), b"{}", 2, (0, "s-1", 0.0))])
+    box.next()
+    assert box.seen(0.0, {0: {}}, whole) is carried and len(box) == (0 if carried else 1)
+    assert box.ready_in(1.0) in (None, 9.0)  # and it may have been carried out: it counts as a message
+
+
+def test_lines_of_a_call_in_doubt_are_void_once_their_slice_was_taken() -> None:
+    """It may be given again with another table, which they must not be laid over."""
+    ends: list[Callable[[Outbox], Any]] = [
+        lambda box: box.unsure(0.0, carried=True), lambda box: box.restore(), lambda box: box.invalid(),
+        lambda box: box.taken(0.0, 0), lambda box: box.seen(0.0, {5: {"s-9": 1.0}, 6: {}}, whole=True),
+    ]  # fmt: skip
+    for end in ends:
+        box = Outbox()
+        box.put(Order(("line", s, 1), b"{}", 1, (s, "s-1", 1.0)) for s in (5, 6))
+        box.next()
+        box.void(5)
+        assert box.servers(6) == {1} and not box.servers(5)
+        end(box)
+        assert [o.key for o in sent(box)] == [("line", 6, 1)]
+
+
 def test_what_each_end_of_a_call_leads_to() -> None:
     def after(how: str, body: bytes = b"", *, with_line: bool = True) -> tuple[bool, bool, int]:
         box = Outbox()
@@ -363,7 +389,7 @@
 
 def news(kind: str, **fields: Any) -> m.News:
     told = m.read_news(json.dumps({"type": kind, "object": fields}).encode())
-    assert told is not None
+    assert told is not None and not isinstance(told, m.Sign)
     return told
 
 
@@ -376,14 +402,46 @@
         assert not standing.hear(news("given", partition=s, yes=True))
     for s, host in tables.items():
         assert not standing.hear(news("held", partition=s, host=host, share=1.0))
-    return standing.settled()
+    return standing.settled(whole=True)
 
 
 def test_what_stands_is_told_when_it_is_whole() -> None:
     standing = Standing()
     told = stands(standing, [1, 2], {7: "s-1"})
     assert [j.sidecar for j in told.joined] == [1, 2] and told.given == {7: {"s-1": 1.0}}
-    assert m.read_news(b"{}") is None and m.read_news(b'{"type":"new kind","object":{}}') is None
+    assert m.read_news(b"{}") == m.Sign() and m.read_news(b'{"type":"new kind","object":{}}') is None
+
+
+def test_before_the_sign_of_life_nothing_counts_as_gone() -> None:
+    """A pause is no end: it may be a gap between two pieces."""
+    standing = Standing()
+    stands(standing, [1, 2], {7: "s-1", 8: "s-1"})
+    standing.opened()
+    standing.hear(news("joined", sidecar=3, az="a", share=1.0, standing=True))
+    standing.hear(news("given", partition=8, yes=True))
+    standing.hear(news("given", partition=9, yes=True))
+    standing.hear(news("held", partition=9, host="s-3", share=1.0))
+    told = standing.settled(whole=False)
+    assert [j.sidecar for j in told.joined] == [3] and told.given == {9: {"s-3": 1.0}}
+    assert not (told.left or told.taken or told.again) and standing.unsettled
+    standing.hear(news("held", partition=8, host="s-1", share=1.0))  # the next piece
+    standing.hear(news("held", partition=9, host="s-4", share=0.5))
+    standing.hear(news("joined", sidecar=1, az="a", share=1.0, standing=False))
+    told = standing.settled(whole=True)
+    assert told.late == {9: {"s-4": 0.5}} and told.again == {8: {"s-1": 1.0}} and not told.joined
+    assert told.left == [2] and told.taken == [7] and not standing.unsettled
+    standing.hear(news("held", partition=9, host="s-5", share=1.0))
+    assert standing.stray == 1 and not standing.unsettled  # all had been told
+
+
+def test_a_slice_taken_given_and_taken_in_one_batch() -> None:
+    standing = Standing()
+    stands(standing, [1], {7: "s-1"})
+    changes = [standing.hear(news("given", partition=7, yes=yes)) for yes in (False, True, False)]
+    assert [c.taken for c in changes] == [[7], [], []] and not standing.settled(whole=False)
+    assert standing.slices == set() and not standing.unsettled
+    standing.hear(news("held", partition=7, host="s-1", share=1.0))  # a table after its slice has gone
+    assert standing.stray == 1 and not standing.settled(whole=True)
 
 
 def test_a_second_watch_is_compared_with_what_is_known() -> None:
@@ -404,14 +462,30 @@
 
 def test_what_a_line_of_the_list_is() -> None:
     def kind(seq: int, whole: bool, entries: int, bad: int, known: bool = False) -> str | None:
-        made = m.Members(seq, whole, [Entry(k, 0, 0, 0, 1, 1.0, 0, -1.0) for k in range(entries)], ["x"] * bad)
-        return made.kind(5, known)
+        listing = Listing()
+        listing.version = 5
+        return listing.take(0.0, members(seq, whole, entries, bad), known)
 
     assert kind(6, False, 1, 0) == "delta" and kind(5, False, 1, 0) is None and kind(6, False, 0, 0) is None
-    assert kind(2, True, 1, 0) == kind(2, True, 0, 0) == "full" and kind(6, True, 1, 1) == "delta"
+    assert kind(5, True, 1, 0) == kind(5, True, 0, 0) == "full" and kind(6, True, 1, 1) == "delta"
     assert kind(2, True, 1, 0, known=True) == "cached"
 
 
+def members(seq: int, whole: bool, entries: int, bad: int = 0) -> m.Members:
+    return m.Members(seq, whole, [Entry(k, 0, 0, 0, 1, 1.0, 0, -1.0) for k in range(entries)], ["x"] * bad)
+
+
+def test_an_older_whole_list_undoes_nothing_unless_discovery_stays_with_it() -> None:
+    listing = Listing()
+    assert listing.take(0.0, members(5, True, 2)) == "full"
+    assert listing.take(1.0, members(4, True, 2)) is None and listing.version == 5
+    assert listing.take(2.0, members(5, False, 1)) is None  # it catches up
+    assert listing.take(3.0, members(6, False, 1)) == "delta" and listing.behind_since is None
+    assert listing.take(10.0, members(2, True, 2)) is None
+    assert listing.take(10.0 + BEHIND_S, members(2, True, 2)) == "full" and listing.version == 2  # it counts anew
+    assert listing.take(17.0, members(3, False, 1)) == "delta"
+
+
 def test_what_a_probes_answer_means() -> None:
     assert [probe_end(s, t, 0.4) for s, t in ((200, 0.3), (503, 0.1), (503, 0.3), (500, 0.1))] == [0, 2, 3, 1]
 
@@ -421,7 +495,7 @@
     stands(standing, [1], {})
     assert not standing.hear(news("given", partition=4, yes=True)) and standing.unsettled
     standing.hear(news("held", partition=4, host="s-9", share=2.0))
-    assert standing.settled().given == {4: {"s-9": 2.0}} and not standing.unsettled
+    assert standing.settled(whole=False).given == {4: {"s-9": 2.0}} and not standing.unsettled
     assert standing.hear(news("given", partition=4, yes=False)).taken == [4]
     assert standing.hear(news("left", sidecar=1)).left == [1]
     assert not standing.hear(news("left", sidecar=1))  # told twice
--- a/tests/test_node_service.py
+++ b/tests/test_node_service.py
@@ -22,6 +22,7 @@
 
 from puffintide.assigner.runtime import Effects
 from puffintide.node.config import load
+from puffintide.node.listing import BEHIND_S
 from puffintide.node.once import Once, Outcome
 from puffintide.node.service import Service
 from tests.deployment import Party, Reactor
@@ -428,8 +429,13 @@
     platform.relay.tables[3] = {"s-0": 1.0}  # another had it meanwhile
     platform.relay.fresh = {2, 4}  # and proxy 2 has started anew
     heard = platform.hears()
+    platform.relay.silent = True
     platform.break_watches()
-    platform.go(1.0)
+    platform.go(0.5)
+    assert platform.node.runtime.proxies.keys() == {0, 1, 2, 4}  # what is missing is not gone yet
+    platform.relay.silent = False
+    platform.relay.tell({})  # the sign of life ends what stands
+    platform.go(0.01)
     assert [e.proxy for e in heard if type(e).__name__ == "ProxyJoined"] == [2, 4]
     assert platform.node.runtime.proxies.keys() == {0, 2, 4} and 5 not in platform.node.runtime.tokens
     assert platform.believed() == platform.relay.tables
@@ -475,14 +481,27 @@
     platform.discovery.change(entry(1, "leaving"))  # version 3, older than ours: passed over
     platform.go(0.1)
     assert {e.state for e in platform.node.runtime.entries.values()} == states
-    platform.discovery.tell({"seq": 4, "whole": True, "hosts": [entry(0), entry(1), {"host": 5}]})
+    platform.discovery.tell({"seq": 8, "whole": True, "hosts": [entry(0), entry(1), {"host": 5}]})
     platform.go(0.1)
     assert len(platform.node.runtime.entries) == SERVERS  # an entry that can't be read is not one that is missing
-    platform.discovery.tell({"seq": 4, "whole": True, "hosts": [entry(0), entry(1)]})
+    platform.discovery.tell({"seq": 8, "whole": True, "hosts": [entry(0), entry(1)]})
     platform.go(0.1)
     assert len(platform.node.runtime.entries) == 2
 
 
+def test_an_agent_that_is_behind_brings_no_draining_task_back_at_once(platform: Platform) -> None:
+    platform.discovery.change(entry(1, "leaving"))
+    platform.go(0.1)
+    platform.discovery.seq = 2  # another agent, which has not heard of it yet
+    platform.break_watches()
+    platform.go(BEHIND_S - 0.5)
+    number = platform.node.hosts.number("s-1")
+    assert platform.node.runtime.entries[number].state == 2 and platform.logged("list_behind")
+    assert "s-1" not in platform.relay.named()
+    platform.go(1.0)
+    assert platform.node.runtime.entries[number].state == 1 and platform.node.listing.version == 2
+
+
 def test_a_start_is_placed_on_our_clock_once_for_each_life(platform: Platform) -> None:
     born = int(platform.wall * 1000) - 2000
     platform.discovery.change(entry(1, born_ms=born))
