Sites: two customers of our own, and two assigners in one process act as alone

Need: the users' other customers; one's settings must not reach another's. Test: two assigners with other classes, zones, kinds, reports, rules and channel, fed in turn in one process, send byte for byte what each sends alone, and so do restarts with the other's settings. Looked for and not found: module-level or class-level state but a cache of struct formats in the drill, keyed by format.

--- /dev/null
+++ b/tests/test_customers.py
@@ -0,0 +1,121 @@
+"""One customer's settings never reach another's: two assigners in one process, and the sites that are kept here."""
+
+from __future__ import annotations
+
+import json
+import tomllib
+from collections.abc import Callable
+from itertools import chain
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.test_node_service import Peer, Platform, entry
+
+SITES = Path(__file__).parent.parent / "deploy" / "sites"
+THERE: dict[str, Any] = {
+    "classes": [
+        {"effect": "once", "objectiveS": 0.4, "deadlineS": 1.5, "worth": 9.0, "name": "cobrança"},
+        {"effect": "repeatable", "objectiveS": 2.0, "deadlineS": 9.0, "worth": 1.0, "name": "mapa"},
+    ],
+    "zones": ["norte", "a"], "kinds": ["m9", "m1"], "report": {"names": ["busy", "lat_ms"], "via": "piggyback"},
+    "rules": {"coldFrom": 0.4, "fallMultiple": 4.0, "overloadForS": 3.0, "stopSendingWithinS": 1.0,
+              "warmWithinS": 6.0},
+}  # fmt: skip
+FAMILY: dict[str, Any] = {
+    "egressPerS": 20000, "head": 30, "mostWaiting": 4000, "reloadsMax": 3, "retryDefault": 1, "strikes": 2,
+    "cycleS": 1.0, "admit": "fraction",
+}  # fmt: skip
+
+
+def customer(tmp: Path, there: bool) -> Platform:
+    tmp.mkdir(exist_ok=True)
+    made = Platform(tmp, **(FAMILY if there else {}))
+    if there:
+        made.party.kill()
+        made.config["settings"] = made.config["settings"] | THERE
+        made.write()
+        made.node = made.start()
+    return made
+
+
+def life(p: Platform, there: bool) -> Any:
+    """A day of one assigner, in steps: reports, drains, a restart of a task, refused calls, a cut, a reload."""
+    kind = "mapa" if there else "0"
+    peer = Peer(p)
+    peer.send({"msg": "collector", "az": "a"})
+    yield
+    for k in range(40):
+        for s in range(6):
+            n = 5 + 9 * (s == k % 3)
+            peer.send({"msg": "heat", "partition": s, "kind": kind, "n": n, "bad": 0, "window": 500.0})
+        for s in range(4):
+            report = {"util": 0.3 + s / 9, "latency_ms": 40.0 + s} if there else {"inflight": 1 + s}
+            peer.send({"msg": "heard", "az": "a", "host": f"s-{s}", "n": 8, "bad": k % 3, "avg": 40.0,
+                       "window": 500.0, "report": report})  # fmt: skip
+        if k == 10:
+            p.discovery.change(entry(1, "leaving"))
+        if k == 18:
+            p.discovery.change(entry(1, born_ms=int(p.wall * 1000) - 500))
+        if k == 22:
+            p.relay.fates = ["reset", "throttled", "carried"]
+            p.discovery.change(entry(2, "left"))
+        if k == 28:
+            p.break_watches()
+        if k == 32:
+            p.node.reload()
+        p.go(0.5)
+        yield
+
+
+def orders(p: Platform) -> bytes:
+    """All that its relay received, and when."""
+    return json.dumps(p.relay.calls).encode()
+
+
+def alone(tmp: Path, there: bool) -> bytes:
+    p = customer(tmp, there)
+    for _ in life(p, there):
+        pass
+    return orders(p)
+
+
+def test_two_assigners_fed_in_turn_act_as_each_does_alone(tmp_path: Path) -> None:
+    expected = [alone(tmp_path / "here", False), alone(tmp_path / "there", True)]
+    assert expected[0] != expected[1] and all(len(json.loads(e)) >= 3 for e in expected)
+    made = [customer(tmp_path / "here", False), customer(tmp_path / "there", True)]
+    for _ in zip(life(made[0], False), life(made[1], True), strict=True):
+        pass
+    assert [orders(p) for p in made] == expected
+    # and so after a restart of one with the other's settings
+    assert alone(tmp_path / "here", True) == expected[1] and alone(tmp_path / "there", False) == expected[0]
+
+
+# Sites ---------------------------------------------------------------------------------------------
+
+CLAIMS: dict[str, Callable[[dict[str, Any]], bool]] = {
+    "douro-cais": lambda s: len(s["net"]["zones"]) == 1 and len(s["class"]) == 4 and s["fam"]["admit"] == "share",
+    "alto-minho": lambda s: s["class"][0]["effect"] == "unsafe" and s["fam"]["messages_most"] == 0,
+}
+
+
+@pytest.mark.parametrize("name", CLAIMS)
+def test_a_site_kept_here_is_whole_and_differs_where_it_claims_to(name: str) -> None:
+    folder = SITES / name
+    site = tomllib.loads((folder / f"{name}.toml").read_text(encoding="utf-8"))
+    assert site["name"] == name and CLAIMS[name](site)
+    for beside in ("real.json", "wire.json"):
+        assert json.loads((folder / beside).read_text())
+    assert (folder / "unlock.txt").read_text().startswith("unlock ")
+    others = [tomllib.loads((SITES / o / f"{o}.toml").read_text(encoding="utf-8")) for o in CLAIMS if o != name]
+    for other in others:
+        names = [{c["name"] for c in s["class"]} | set(s["net"]["zones"]) for s in (site, other)]
+        assert not names[0] & names[1]
+        assert all(site[part] != other[part] for part in ("rules", "prices", "fam", "tier", "load"))
+        assert {c["aim_ms"] for c in site["class"]}.isdisjoint(c["aim_ms"] for c in other["class"])
+    assert any(not c.isascii() for c in chain(*(c["name"] for c in site["class"]), *site["net"]["zones"]))
+
+
+def test_every_site_kept_here_is_checked() -> None:
+    assert {path.name for path in SITES.iterdir()} == set(CLAIMS)
