Module: nobody is refused before capacity was read; others' load counts where none is told

At fault: shed() counts servers whose capacity nobody has read as able to do 1.0 for each listed core (capacity()); read_inflight() takes the median of our own requests in hand, which is 0 where most servers hold no slice of one assigner: never a load, never a capacity. Change: no levels before a capacity was read and two report turns have passed; where servers tell no count, what the other assigners bring is taken as even by listed size, scaled by the share of slices. Tests: five directors on 40 servers without reports; each of the three guards taken out turns one red.

--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -364,8 +364,11 @@
 
     def read_inflight(self, ready: list[ServerView]) -> None:
         """A load from requests in flight. As many servers are full as probes were slowed, and the count that
-        parts the fleet so is a full server's. Without probes the median server is taken to be at USUAL."""
-        held = sorted(self.recent(v.held) / v.entry.weight for v in ready)
+        parts the fleet so is a full server's. Without probes the median server is taken to be at USUAL. What
+        other assigners bring to a server that tells no count is taken as even, as their slices lie by a hash."""
+        size, ours = sum(v.entry.weight for v in ready), sum(self.recent(v.held) for v in ready)
+        others = ours * (self.set.slices / len(self.slices) - 1) / size if self.slices and size > 0 else 0.0
+        held = sorted(self.recent(v.held) / v.entry.weight + others for v in ready)
         if len(self.probed) >= PROBES_KEPT / 5:
             free = sum(not slowed for _, slowed in self.probed)
             self.in_work = sorted(count for count, _ in self.probed)[min(free, len(self.probed) - 1)]
@@ -374,8 +377,9 @@
         for v in ready:
             own = self.recent(v.held)
             # A lone assigner's answers tell all, with less noise; but answer times hold a slow link's way.
-            total = own if v.inflight is None or (self.set.instances == 1 and not self.blind) else v.inflight
-            if own > 0 and self.in_work > 0:
+            lone = self.set.instances == 1 and not self.blind
+            total = own if lone else own + others * v.entry.weight if v.inflight is None else v.inflight
+            if (own > 0 or (v.inflight is None and total > 0)) and self.in_work > 0:
                 v.load = min(1.0, total / (v.entry.weight * self.in_work))
 
     def estimate(self) -> None:
@@ -588,8 +592,11 @@
         return plan
 
     def shed(self) -> None:
-        """Lets in less when the fleet is short, least worth for its work (told by the wanted time) first."""
-        if self.set.admit != "fraction" or not self.slices:
+        """Lets in less when the fleet is short, least worth for its work (told by the wanted time) first. Until it
+        was read what the fleet can do, and for two report turns, that is a guess and refuses nobody."""
+        read = self.per_size is not None or any(v.capacity for v in self.ready_views())
+        early = not read or self.now - self.first_reported < SETTLE * self.turn()
+        if self.set.admit != "fraction" or not self.slices or early:
             return
         room = sum(self.capacity(v.entry.id) for v in self.ready_views()) * len(self.slices) / self.set.slices
         offered = dict.fromkeys(range(len(self.set.classes)), 0.0)
--- a/tests/test_several.py
+++ b/tests/test_several.py
@@ -1,6 +1,7 @@
 """Several assigners of one fleet that share nothing: what they do together."""
 
 from collections.abc import Iterable
+from typing import Any
 
 import pytest
 
@@ -12,15 +13,20 @@
 
 
 class Fleet:
-    """Five Directors with 12 slices each of 60 on ten servers; servers report how busy all of them make them."""
+    """Five Directors with 12 slices each of 60 on ten servers; servers report how busy all of them make them, or
+    nothing where the settings have no reports."""
 
-    def __init__(self, heat: float) -> None:
+    def __init__(self, heat: float, servers: range = SERVERS, **changes: Any) -> None:
         self.now, self.heat = START, heat
-        self.on = {n: SERVERS[n % 10] for n in range(5 * EACH)}
-        self.ready = set(SERVERS)
+        self.on = {n: servers[n % len(servers)] for n in range(5 * EACH)}
+        self.ready = set(servers)
         self.held = {k: list(range(k * EACH, (k + 1) * EACH)) for k in range(5)}
-        self.directors = [Director(settings(instance=k, instances=5, slices=5 * EACH)) for k in range(5)]
-        entries = tuple(server(s) for s in SERVERS)
+        self.directors = [
+            Director(settings(instance=k, instances=5, slices=5 * EACH, **changes)) for k in range(5)
+        ]
+        self.lowest = 1.0  # level ordered
+        self.answered = 1.0  # part of what came that was answered so far
+        entries = tuple(server(s) for s in servers)
         for k, director in enumerate(self.directors):
             events: list[api.Event] = [
                 api.ServerList("cached", 1, entries),
@@ -51,16 +57,19 @@
                 events: list[api.Event] = [api.SliceHeat(n, 0, came, 0, 10.0) for n in self.mine(k)]
                 for sid in sorted(self.ready):
                     tries, total = self.load(sid, self.mine(k)), self.load(sid, range(5 * EACH))
+                    tries *= self.answered
                     good = tries * min(1.0, 30.0 / max(total, 1.0))
-                    report = api.LoadReport(0, sid, round(tries * 10), round((tries - good) * 10), 0.2, 10.0,
-                                            (min(1.0, total / 30.0),))  # fmt: skip
-                    events.append(report)
+                    values = (min(1.0, total / 30.0),) if director.set.report_names else ()
+                    counts = round(tries * 10), round((tries - good) * 10)
+                    events.append(api.LoadReport(0, sid, *counts, 0.2, 10.0, values))
                 self.hear(director, *events, api.TimerDue(1))
 
     def hear(self, director: Director, *events: api.Event) -> None:
         for action in director.handle(self.now, events):
             if isinstance(action, api.SetLine) and action.weight >= 1:
                 self.on[action.table] = action.server
+            if isinstance(action, api.Admit):
+                self.lowest = min(self.lowest, action.level)
 
     def tell(self, *entries: api.Server) -> None:
         self.ready = {s for s in self.ready if s not in {e.id for e in entries}}
@@ -69,6 +78,34 @@
             self.hear(director, api.ServerList("delta", 2, entries))
 
 
+def test_where_nothing_tells_load_an_idle_fleet_refuses_nobody() -> None:
+    """No load reports, and most servers hold no slice of one assigner; the start brings heat before answers."""
+    fleet = Fleet(heat=3.5, servers=range(1, 41), report_names=(), admit="fraction")
+    before = dict(fleet.on)
+    for fleet.answered in (0.0, 0.3, 0.6):  # at the start heat comes first, and answers late
+        fleet.run(0.25)
+    fleet.answered = 1.0
+    fleet.run(19)
+    assert fleet.lowest == 1.0 and fleet.on == before
+    for director in fleet.directors:  # the median server is at half of what it can do
+        assert director.per_size == pytest.approx(2 * 60 * 3.5 / 40, rel=0.3)
+
+
+def test_nobody_is_refused_before_anything_told_what_servers_can_do() -> None:
+    fleet = Fleet(heat=3.5, servers=range(1, 41), report_names=(), admit="fraction")
+    fleet.answered = 0.0
+    fleet.run(6)
+    assert fleet.lowest == 1.0
+
+
+def test_where_nothing_tells_load_a_crowd_is_refused_in_part() -> None:
+    fleet = Fleet(heat=3.5, servers=range(1, 41), report_names=(), admit="fraction")
+    fleet.run(10)
+    fleet.heat = 60.0  # 90 on servers that can do 30
+    fleet.run(10)
+    assert fleet.lowest < 0.8
+
+
 @pytest.mark.parametrize("killed", [False, True])
 def test_after_a_release_the_new_servers_are_used_and_none_is_crowded(killed: bool) -> None:
     fleet = Fleet(heat=3.5)
