Module: others' load is taken as even on warm servers alone

Cause, in the commit before: read_inflight() took others' load as even also for tasks that have told no count because they are new, so that they looked as full as the rest and were not filled. Change: it is taken as even on warm servers; a new one has what we sent it.

--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -365,10 +365,12 @@
     def read_inflight(self, ready: list[ServerView]) -> None:
         """A load from requests in flight. As many servers are full as probes were slowed, and the count that
         parts the fleet so is a full server's. Without probes the median server is taken to be at USUAL. What
-        other assigners bring to a server that tells no count is taken as even, as their slices lie by a hash."""
-        size, ours = sum(v.entry.weight for v in ready), sum(self.recent(v.held) for v in ready)
-        others = ours * (self.set.slices / len(self.slices) - 1) / size if self.slices and size > 0 else 0.0
-        held = sorted(self.recent(v.held) / v.entry.weight + others for v in ready)
+        other assigners bring to a warm server that tells no count is taken as even, as slices lie by a hash."""
+        size = sum(v.entry.weight for v in ready if self.warmth(v.entry.id) >= 1)
+        ours, share = sum(self.recent(v.held) for v in ready), len(self.slices) / max(1, self.set.slices)
+        others = ours * (1 / share - 1) / size if share > 0 and size > 0 else 0.0
+        brought = {v.entry.id: others if self.warmth(v.entry.id) >= 1 else 0.0 for v in ready}
+        held = sorted(self.recent(v.held) / v.entry.weight + brought[v.entry.id] for v in ready)
         if len(self.probed) >= PROBES_KEPT / 5:
             free = sum(not slowed for _, slowed in self.probed)
             self.in_work = sorted(count for count, _ in self.probed)[min(free, len(self.probed) - 1)]
@@ -378,7 +380,8 @@
             own = self.recent(v.held)
             # A lone assigner's answers tell all, with less noise; but answer times hold a slow link's way.
             lone = self.set.instances == 1 and not self.blind
-            total = own if lone else own + others * v.entry.weight if v.inflight is None else v.inflight
+            guess = own + brought[v.entry.id] * v.entry.weight
+            total = own if lone else guess if v.inflight is None else v.inflight
             if (own > 0 or (v.inflight is None and total > 0)) and self.in_work > 0:
                 v.load = min(1.0, total / (v.entry.weight * self.in_work))
 
--- a/tests/test_several.py
+++ b/tests/test_several.py
@@ -98,6 +98,16 @@
     assert fleet.lowest == 1.0
 
 
+def test_where_nothing_tells_load_a_new_server_is_not_taken_for_as_full_as_the_rest() -> None:
+    fleet = Fleet(heat=8.0, servers=range(1, 21), report_names=())
+    fleet.run(10)
+    fleet.tell(*(server(s, started=fleet.now) for s in range(21, 31)))
+    fleet.run(0.5)
+    for director in fleet.directors:
+        load = {s: view.load or 0.0 for s, view in director.servers.items()}
+        assert max(load[s] for s in range(21, 31)) < 0.1 < min(load[s] for s in range(1, 21))
+
+
 def test_where_nothing_tells_load_a_crowd_is_refused_in_part() -> None:
     fleet = Fleet(heat=3.5, servers=range(1, 41), report_names=(), admit="fraction")
     fleet.run(10)
