Proxy: SIGTERM lets requests under way end, and takes nothing new

Seen, tests/test_http.py and tests/test_proxy_service.py on a real process: a request at a server when SIGTERM comes is cut without an answer. Cause: cli/processes._run stops the reactor at once; besides, the handler it set was replaced by the reactor's own as it started. Change: both ports close, connections without a request close, what comes on others is refused with the proof that nothing ran, what is under way gets its answer (over HTTP with connection: close), then the process ends: after the longest deadline of a class at the latest, or at once if told twice. Tests: three cases with real connections, the server holds its answer until the signal was heard; all fail without the change.

--- a/puffintide/cli/processes.py
+++ b/puffintide/cli/processes.py
@@ -42,7 +42,7 @@
         sys.exit(2)
 
 
-def _share(reactor: Any, host: str, port: int, factory: Any, tls: Contexts | None) -> None:
+def _share(reactor: Any, host: str, port: int, factory: Any, tls: Contexts | None) -> Any:
     """One port for several processes: the system deals connections out among them."""
     sock = socket.socket()
     try:
@@ -52,7 +52,7 @@
         sock.setblocking(False)
         if tls is not None:
             factory = TLSMemoryBIOFactory(cast(Any, tls), False, factory)
-        reactor.adoptStreamPort(sock.fileno(), socket.AF_INET, factory)
+        return reactor.adoptStreamPort(sock.fileno(), socket.AF_INET, factory)
     except OSError as error:
         raise CannotListenError(host, port, error) from None  # type: ignore[no-untyped-call]
     finally:
@@ -61,24 +61,37 @@
 
 def _listen(
     reactor: Any, address: str, factory: Any, tls: Contexts | None = None, shared: bool = False
-) -> None:
+) -> Any:
     host, _, port = address.rpartition(":")
     try:
         if shared:
-            _share(reactor, host, int(port), factory, tls)
-            return
+            return _share(reactor, host, int(port), factory, tls)
         if tls is None:
-            reactor.listenTCP(int(port), factory, 2000, host)
-        else:
-            reactor.listenSSL(int(port), factory, tls, 2000, host)
+            return reactor.listenTCP(int(port), factory, 2000, host)
+        return reactor.listenSSL(int(port), factory, tls, 2000, host)
     except CannotListenError as error:
         print(f"puffintide: can't listen on {address}: {error.socketError}", file=sys.stderr)
         sys.exit(2)
 
 
-def _run(reactor: Any) -> None:
-    """SIGTERM and Ctrl-C end it."""
-    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(reactor.stop))
+def _run(reactor: Any, stop: Callable[[Callable[[], None]], None] | None = None) -> None:
+    """SIGTERM and Ctrl-C end it. stop: what SIGTERM asks of the service, which then calls what it is given."""
+
+    def end() -> None:
+        if reactor.running:
+            reactor.stop()
+
+    def told() -> None:
+        if stop is None:
+            end()
+        else:
+            stop(end)
+
+    def listen() -> None:
+        signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(told))
+
+    listen()
+    reactor.callWhenRunning(listen)  # the reactor has set its own as it started
     print("ready", flush=True)
     reactor.run()
 
@@ -170,11 +183,12 @@
     log = setup(f"proxy-{config.proxy.id}", config.proxy.log, config.proxy.level)
     tls = _tls(config, log)
     service = ProxyService(reactor, config, config.proxy, log, tls)
-    _listen(reactor, config.proxy.listen, service.front(), tls, config.proxy.shared_port)
+    shared = config.proxy.shared_port
+    service.ports = [_listen(reactor, config.proxy.listen, service.front(), tls, shared)]
     if service.http is not None:
-        _listen(reactor, config.proxy.http, service.http.factory(), tls, config.proxy.shared_port)
+        service.ports.append(_listen(reactor, config.proxy.http, service.http.factory(), tls, shared))
     service.start()
-    _run(reactor)
+    _run(reactor, service.stop)
 
 
 class _Hand(LineOnlyReceiver):
--- a/puffintide/proxy/http.py
+++ b/puffintide/proxy/http.py
@@ -169,8 +169,15 @@
                 self._close()
                 return
 
+    def stop(self) -> None:
+        if self.exchange is None and not self.gone:
+            self._close()
+
     def _request(self, request: h11.Request) -> None:
         self.head_asked = request.method == b"HEAD"
+        if self.owner.stopping:
+            self.refuse(503, "this proxy stops")
+            return
         headers = dict(request.headers)
         if (
             sum(len(k) + len(v) + 4 for k, v in request.headers) + len(request.target)
@@ -227,6 +234,8 @@
     # The answer -----------------------------------------------------------------------------------
 
     def answer(self, status: int, headers: Headers) -> None:
+        if self.owner.stopping:
+            headers = [*headers, (b"connection", b"close")]
         self._send(h11.Response(status_code=status, headers=headers))
 
     def answer_data(self, data: bytes) -> None:
@@ -242,7 +251,7 @@
         if again_s:
             headers.append((b"retry-after", b"%d" % math.ceil(again_s)))
             headers.append((b"x-puffintide-again-ms", b"%d" % round(again_s * 1000)))
-        if self.exchange is not None and not self.exchange.whole:
+        if self.owner.stopping or (self.exchange is not None and not self.exchange.whole):
             headers.append((b"connection", b"close"))  # the rest of its body is not read
         self._send(h11.Response(status_code=STATUS.get(status, 502), headers=headers), h11.EndOfMessage())
         self._next()
@@ -250,7 +259,8 @@
     def _next(self) -> None:
         self.exchange = None
         self.pause(False)
-        if self.conn.our_state is h11.MUST_CLOSE or self.conn.their_state is not h11.DONE:
+        ends = self.owner.stopping or self.conn.our_state is h11.MUST_CLOSE
+        if ends or self.conn.their_state is not h11.DONE:
             self._close()
             return
         self.conn.start_next_cycle()
@@ -483,6 +493,13 @@
         self.waits: dict[int, tuple[int, int]] = {}  # tries that wait for a connection: server, exchange
         self.next_ref = 0
         self.timer: Any = None
+        self.stopping = False
+
+    def stop(self) -> None:
+        """The end: each connection closes with the answer that is under way on it, those without one now."""
+        self.stopping = True
+        for front in list(self.fronts):
+            front.stop()
 
     def factory(self) -> Factory:
         owner = self
--- a/puffintide/proxy/service.py
+++ b/puffintide/proxy/service.py
@@ -20,12 +20,13 @@
 from puffintide.wire.checks import wrong_lines, wrong_order
 from puffintide.wire.messages import AnyMessage
 from puffintide.wire.session import Greeting
-from puffintide.wire.stream import Acceptor, Dialler, Stream
+from puffintide.wire.stream import Acceptor, Dialler, Stream, hang_up
 
 SAVE_S = 1.0
 STATS_S = 10.0
 LEFT_MOST_S = 1e4  # that a client may wait; over HTTP too
 WRITES_S = 0.02  # how often writes in hand are looked at
+END_S = 0.02  # and, at the end, requests under way
 
 
 def limits(config: Config, me: ProxyProcess) -> Limits:
@@ -95,6 +96,8 @@
         self.reread: Any = None
         self.timer: Any = None
         self.saved_version = 0
+        self.ports: list[Any] = []  # of both fronts, to be closed at the end
+        self._end: Callable[[], None] | None = None
         self.diallers = [
             Dialler(
                 reactor, a, self._hello(k), self._from_assigner(k), self._assigner_lost(k), self.draw, tls=tls
@@ -121,6 +124,34 @@
         self.reactor.callLater(STATS_S, self._stats)
         self.reactor.callLater(self.draw() * self.config.reports.period_s, self._report)
 
+    def stop(self, done: Callable[[], None]) -> None:
+        """SIGTERM. Nothing new is taken, and what is under way gets its answer: at most for the longest time that a
+        class's client waits. Told twice: done() at once."""
+        if self._end is not None:
+            done()
+            return
+        self._end = done
+        for port in self.ports:
+            port.stopListening()
+        if self.http is not None:
+            self.http.stop()
+        self.log.info("stopping", requests=self._under_way())
+        self.reactor.callLater(max(c.deadline_s for c in self.config.classes.values()), done)
+        self._ending()
+
+    def _under_way(self) -> int:
+        return len(self.asks) + (len(self.http.exchanges) if self.http is not None else 0)
+
+    def _ending(self) -> None:
+        fronts = [*self.fronts.values(), *(self.http.fronts if self.http is not None else ())]
+        if not self._under_way():
+            for stream in self.fronts.values():
+                hang_up(stream.transport)  # once its answers are written
+            if not fronts and self._end is not None:
+                self._end()
+                return
+        self.reactor.callLater(END_S, self._ending)
+
     def _count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
 
@@ -268,6 +299,9 @@
                 stream.refuse(f"a {type(message).__name__} is not for a proxy's front")
 
     def ask(self, stream: Stream, ask: m.Ask) -> None:
+        if self._end is not None:  # nothing of it has run: another proxy can take it
+            stream.send(m.Reply(ask.id, m.FULL, 0.0, False))
+            return
         self.next_ref += 1
         ref = self.next_ref
         self.asks[ref] = (stream, ask.id)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import random
+import signal
 import socket
 import threading
 import time
@@ -334,3 +335,32 @@
                 first = rss()
         assert running.poll() is None and rss() < first + 20_000
         assert b"200" in proxy.ask(LAST)
+
+
+@pytest.mark.parametrize("twice", [False, True])
+def test_sigterm_lets_what_is_under_way_end_and_takes_nothing_new(tmp_path: Path, twice: bool) -> None:
+    asked, go = threading.Event(), threading.Event()
+
+    def held(sock: socket.socket, head: bytes, number: int) -> bool:
+        asked.set()
+        assert go.wait(15)
+        sock.sendall(answer(b"done"))
+        return True
+
+    proxy = Proxy(tmp_path, Server(held).port)
+    with proxy.running() as running, proxy.dial() as busy, proxy.dial() as idle:
+        busy.sendall(GET)
+        assert asked.wait(15)
+        busy.sendall(GET)  # pipelined: it has not begun
+        running.send_signal(signal.SIGTERM)
+        assert rest(idle) == b""
+        with pytest.raises(ConnectionRefusedError):
+            proxy.dial()
+        if twice:
+            running.send_signal(signal.SIGTERM)
+            assert running.wait(15) == 0 and rest(busy) == b""
+        go.set()
+        if not twice:
+            head, body = read_one(busy)
+            assert body == b"done" and b"connection: close" in head.lower()
+            assert rest(busy) == b"" and running.wait(15) == 0
--- a/tests/test_proxy_service.py
+++ b/tests/test_proxy_service.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import itertools
+import signal
 import socket
 import time
 from collections.abc import Iterator
@@ -282,3 +283,22 @@
         server.send(m.Answer(tried.id, m.OK))
         assert reply(client, 2).status == m.OK
         assert assigner.until(lambda x: isinstance(x, m.Applied)).mark == 1 << 20
+
+
+def test_sigterm_lets_requests_under_way_end_and_refuses_new_ones(setting: Setting) -> None:
+    with setting.running() as running:
+        _, store = setting.steer()
+        store.send(setting.charge(0))
+        client = setting.client()
+        client.send(m.Ask(1, 0, 77, 3.0))
+        server = setting.servers[0].accept("server")
+        tried = server.until(lambda x: isinstance(x, m.Try))
+        running.send_signal(signal.SIGTERM)
+        with pytest.raises(ConnectionError):  # once it has heard the signal
+            while True:
+                socket.create_connection(("127.0.0.1", setting.port), 5).close()
+        client.send(m.Ask(2, 0, 77, 3.0))
+        assert reply(client, 2) == m.Reply(2, m.FULL, 0.0, False)  # proved: another proxy can take it
+        server.send(m.Answer(tried.id, m.OK))
+        assert reply(client, 1) == m.Reply(1, m.OK)
+        assert client.read() is None and running.wait(15) == 0
