Module: a slice alone on a server that is too cold for a hot key gets a second place

Checked with a trace of moves onto cold tasks and of what stands there: the one that fell held a single slice (1113), believed 0.78 a second when it was moved at 11.6 s and still at 13.8 s, 7.87 at 14.3 s; by a play in which it stood on a warm task it goes to some 20 a second, then 50 as clients come again. Excluded: several assigners filling one task, a wrong capacity (3.9 to 5.1), a slice large when it was moved. Cause: a key becomes hot while its slice stands on a cold server. Heat is told in turns of 3.8 s; the limit is passed in 1.5. Change: such a slice has two places while fall_multiple times the server's warmth is under SURGE, 1.5 times what a warm one does. Rarer, not impossible. Tests: two guards, each turns one red when taken out. Two tests named the single place that a slice had on a cold server; they now name the server among its places, the one on slices too large for it strictly (not among them).

--- a/puffintide/policy.py
+++ b/puffintide/policy.py
@@ -30,6 +30,7 @@
 WHOLE = 2.0  # slices that an assigner's part of a server must hold for the room to be divided evenly
 SPLIT = 0.45  # a slice above this share of its server's capacity is spread, until below 0.55 of that
 PARTS_MOST = 4
+SURGE = 1.5  # what a key that becomes hot brings at once, in capacities of a warm server
 STANDBY = 0.004  # weight of the second line, where a proxy's further try finds another server
 SETTLE = 2.0  # report turns heard after a start before the ordinary plan and capacity are trusted
 PROBE_S = 0.8
@@ -578,6 +579,13 @@
                     move(number, sid, target)
                 elif lame and load[sid] > SAFE * self.set.fall_multiple * can[sid]:
                     plan[number], load[sid] = [], load[sid] - part[number] * COLD_MISS
+        # A key that becomes hot is told of when it has pushed a cold server over: what would stand there alone
+        # gets a second place, as long as one such slice would do that.
+        frail = {s for s in raw if self.set.fall_multiple * self.warmth(s) < SURGE}
+        for number in sorted(self.slices):
+            if pieces[number] == 1 and plan[number] and plan[number][0] in frail and not self.set.single_writer:
+                pieces[number], part[number] = 2, part[number] / 2
+                load[plan[number][0]] -= part[number] * COLD_MISS
         # Further places of slices that are spread.
         for number in sorted(self.slices):
             while plan[number] and len(plan[number]) < pieces[number]:
