Assigner: a round that fails is told and is not the last

Seen while reading for races: AssignerService._tick lets what a round raises pass to the reactor, so that no tick is scheduled, and the module's timer is lost with the round: it never decides again unless something else comes in, and then only what is urgent. Test on the service in memory, a round raises for a second, then a server drains: no order without the change, one with it, and the rounds go on at their pace.

--- a/puffintide/assigner/runtime.py
+++ b/puffintide/assigner/runtime.py
@@ -143,6 +143,12 @@
     def next_timer(self) -> float | None:
         return self._timers[0][0] if self._timers else None
 
+    def revive(self, now: float) -> None:
+        """After a round that failed: its timer is lost with it, and without one the module's rounds end. Where one
+        stands, what failed was not the module, and a second would double its rounds for good."""
+        if self.next_timer() is None:
+            self.hear(now, api.TimerDue(0))
+
     def busy(self) -> bool:
         return self.listed and bool(self._events)
 
--- a/puffintide/assigner/service.py
+++ b/puffintide/assigner/service.py
@@ -36,6 +36,7 @@
 STATS_S = 5.0
 REASONS_MOST = 5  # logged of one list
 SHOWN_MOST = 200_000  # rows of copies, to an operator
+RECOVER_S = 0.25  # pause of the module's rounds after one that failed
 HANDOVER_S = 0.02  # how often a move under way is looked at
 
 
@@ -289,9 +290,13 @@
     def _tick(self) -> None:
         began = self.now()
         cpu = os.times()
-        effects = self.runtime.tick(began)
-        if effects is not None:
-            self._act(began, effects)
+        try:
+            effects = self.runtime.tick(began)
+            if effects is not None:
+                self._act(began, effects)
+        except Exception as error:  # a round that failed must not be the last one
+            self.log.error("round_failed", error=f"{type(error).__name__}: {error}")
+            self.reactor.callLater(RECOVER_S, self._recover)
         after = os.times()
         self.busy_s += after.user + after.system - cpu.user - cpu.system
         timer = self.runtime.next_timer()
@@ -300,6 +305,10 @@
         elif timer is not None:
             self._schedule(max(0.001, timer - self.now()))
 
+    def _recover(self) -> None:
+        self.runtime.revive(self.now())
+        self._schedule()
+
     def _act(self, now: float, effects: Effects) -> None:
         self.rounds += 1
         self.ordered.written(effects.batch, effects.writes)
--- a/puffintide/node/service.py
+++ b/puffintide/node/service.py
@@ -333,9 +333,7 @@
             self._schedule(max(0.001, timer - self.now()))
 
     def _recover(self) -> None:
-        if self.runtime.next_timer() is not None:
-            return  # what failed was not the module; a second timer would double its rounds for good
-        self.runtime.hear(self.now(), api.TimerDue(0))
+        self.runtime.revive(self.now())
         self._schedule()
 
     def _act(self, effects: Effects) -> None:
--- a/tests/test_assigner.py
+++ b/tests/test_assigner.py
@@ -133,3 +133,27 @@
     assert loaded.kind == "cached" and loaded.version == 3
     assert [e.age_s for e in loaded.servers] == [12.5, -1.0]
     assert [e.age_s for e in load_list(str(path), 50.0).servers] == [5.0, -1.0]  # the clock was set back
+
+
+def test_a_round_that_fails_is_told_and_is_not_the_last() -> None:
+    assigner = Assigner()
+    assigner.dialled(0, charges(8))
+    assigner.dialled(1, m.News("full", 1, servers(1, 1)))
+    stream, wire = assigner.proxy(0)
+    all_: list[Any] = [stream, assigner.line0, assigner.line1]  # type: ignore[attr-defined]
+    keep(*all_)
+    assigner.pass_time(1.0)
+    keep(*all_)
+    decider: Any = assigner.service.runtime.decider
+    real, decider.handle = decider.handle, lambda *_: 1 / 0
+    assigner.pass_time(1.0)
+    decider.handle = real
+    keep(*all_)
+    assert any("ZeroDivisionError" in str(call) for call in assigner.service.log._logger.calls)
+    assigner.pass_time(1.0)
+    assert len(assigner.service.runtime._timers) == 1  # its rounds go on at their pace
+    keep(*all_)
+    wire.clear()
+    assigner.dialled(1, m.News("delta", 2, servers(2)))  # the first drains
+    assigner.pass_time(1.0)
+    assert orders(wire)
