--- a/puffintide/node/standing.py
+++ b/puffintide/node/standing.py
@@ -43,7 +43,7 @@
         self._seen_proxies: set[int] = set()
         self._seen_slices: set[int] = set()
         self._fresh: Tables = {}  # given, with lines that may still come
-        self._passed: set[int] = set()  # passed on since the last sign of life: more lines may come
+        self._passed: set[int] = set()  # passed on with or since the last sign of life: more lines may come
         self._late: Tables = {}
         self.stray = 0  # lines held of slices that were not given
         # A proxy has joined. Before that the platform's tasks answer probes without the work that they take in
@@ -132,7 +132,7 @@
         self._fresh = {n: table for n, table in self._fresh.items() if n in kept}
         self.slices |= out.given.keys()
         out.late, self._late = self._late, {}
-        self._passed = set() if whole else self._passed | out.given.keys()
+        self._passed = set(out.given) if whole else self._passed | out.given.keys()  # a sign may come in between
         return out
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -434,6 +434,17 @@
     assert standing.stray == 1 and not standing.unsettled  # all had been told
 
 
+def test_a_sign_of_life_between_a_slice_and_its_lines_loses_none() -> None:
+    standing = Standing()
+    stands(standing, [1], {})
+    standing.hear(news("given", partition=4, yes=True))
+    assert standing.settled(whole=True).given == {4: {}}
+    standing.hear(news("held", partition=4, host="s-9", share=2.0))
+    assert standing.settled(whole=True).late == {4: {"s-9": 2.0}}
+    standing.hear(news("held", partition=4, host="s-8", share=2.0))
+    assert standing.stray == 1
+
+
 def test_a_slice_taken_given_and_taken_in_one_batch() -> None:
     standing = Standing()
     stands(standing, [1], {7: "s-1"})
