Node: which table holds is a pure function; a stall and news told twice are tested

Read once more: _compare in the service chose between the store's lines and our own, a decision in a file of I/O. It is standing.table_anew, pure and tested. Faults that no test of this change had put between two processes: the assigner standing still (SIGSTOP) while what stands comes, so that its timers come before the bytes, and news and an older list told twice. Both are cases on real connections now.

--- a/puffintide/node/service.py
+++ b/puffintide/node/service.py
@@ -22,7 +22,7 @@
 from puffintide.node.names import Hosts
 from puffintide.node.news import NewsFeed
 from puffintide.node.probe import Prober
-from puffintide.node.standing import Changes, read_anew
+from puffintide.node.standing import Changes, read_anew, table_anew
 from puffintide.node.watch import Watch
 from puffintide.policy import Director
 from puffintide.wire.messages import Charge, Held
@@ -243,11 +243,8 @@
         ours = self._ours(number)
         if read_anew(stored, believed, ours):
             self.log("table_differs", slice=number, stored=len(stored), believed=len(believed))
-            kept = {s: share for s, share in believed.items() if s in ours}
-            anew = {s: share for s, share in stored.items() if s not in ours} | kept
-            self.runtime.charge(
-                now, Charge(number, 1, self.settings.instance, [Held(s, w) for s, w in sorted(anew.items())])
-            )
+            lines = [Held(s, share) for s, share in sorted(table_anew(stored, believed, ours).items())]
+            self.runtime.charge(now, Charge(number, 1, self.settings.instance, lines))
 
     # Collectors and probes ----------------------------------------------------------------------
 
--- a/puffintide/node/standing.py
+++ b/puffintide/node/standing.py
@@ -136,6 +136,14 @@
         return out
 
 
+def table_anew(
+    stored: Mapping[int, float], believed: Mapping[int, float], ours: Collection[int]
+) -> dict[int, float]:
+    """The table that holds where it is read anew: the store's, but for our own lines that it may not have yet."""
+    kept = {s: share for s, share in believed.items() if s in ours}
+    return {s: share for s, share in stored.items() if s not in ours} | kept
+
+
 def read_anew(stored: Mapping[int, float], believed: Mapping[int, float], ours: Collection[int]) -> bool:
     """Whether the table of a slice that was ours before a watch and is ours still is to be read anew. Lines to the
     servers in `ours` are still on their way or were sent just now, so the store may be behind. Where it differs
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -19,7 +19,7 @@
 from puffintide.node.log import Log
 from puffintide.node.names import Hosts, Names, draw, parse_text_report, probe_end
 from puffintide.node.relay import BYTES_MOST, Order, Outbox, orders, read_answer
-from puffintide.node.standing import Changes, Standing, read_anew
+from puffintide.node.standing import Changes, Standing, read_anew, table_anew
 from puffintide.wire.messages import Entry
 from tests.test_drill import CONF
 
@@ -469,6 +469,8 @@
     assert read_anew({1: 1.0}, {2: 1.0}, []) and read_anew({}, {1: 1.0}, []) and read_anew({1: 0.5}, {1: 1.0}, [])
     assert not read_anew({1: 1.0}, {2: 1.0}, [1, 2])  # ours, on their way
     assert read_anew({1: 1.0, 3: 1.0}, {2: 1.0}, [1, 2])
+    # Of our own on their way: 2 is being set, 1 taken out; the rest is the store's.
+    assert table_anew({1: 1.0, 3: 1.0}, {2: 0.5, 4: 1.0}, [1, 2]) == {2: 0.5, 3: 1.0}
 
 
 def test_what_a_line_of_the_list_is() -> None:
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import threading
+import time
 from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, suppress
@@ -208,6 +209,37 @@
     assert all(p.store.tables.values()) and not p.node.logged("table_differs")
 
 
+def test_what_comes_while_the_assigner_stands_still_counts_though_its_timers_come_first(
+    make: Callable[..., Platform],
+) -> None:
+    p = make().start()
+    p.news.reset()
+    p.news = p.opened(NEWS)
+    p.news.lines(joined(0), *p.store.held(0))
+    p.node.until("news_watch", 2)  # the first piece has been read
+    p.node.signal(signal.SIGSTOP)
+    p.news.lines(*map(joined, (1, 2)), *p.store.held(1, 2, 3, 4, 5), SIGN)
+    time.sleep(0.5)  # all its pauses are over when it wakes
+    p.list.lines({"seq": 8, "whole": False, "hosts": [entry(1, "leaving")]})
+    p.node.signal(signal.SIGCONT)
+    wire, body = p.call()  # one, for both slices that stand there
+    assert {r["group"] for r in json.loads(body)["orders"] if r["do"] == "SET"} == {1, 5}
+    wire.answer(p.store.take(body))
+    assert not p.node.logged("standing", taken=5) and all(p.store.tables.values())
+
+
+def test_news_and_lists_told_twice_change_nothing(make: Callable[..., Platform]) -> None:
+    p = make().start()
+    told = [joined(0), *p.store.held(), SIGN]
+    p.news.lines(*told, *told)
+    p.drain(1)
+    p.until_off("s-1")
+    p.list.lines({"seq": 8, "whole": False, "hosts": [entry(1)]})  # an older one, late: it was well then
+    p.drain(2)
+    p.until_off("s-1", "s-2")
+    assert all(p.store.tables.values())
+
+
 def test_what_a_new_watch_lacks_is_gone_once_it_is_whole(make: Callable[..., Platform]) -> None:
     p = make().start()
     p.news.reset()
