Tests: what stayed green when a guard was taken out turns red now

Broken on purpose, one at a time: closing the port at SIGTERM, cutting another for each that comes in a flood, and the bound on what is taken in a turn stayed green. The port is now tried while the last call is still on its way, and the flood's two bounds have a case without timing. Left green when broken: ending probes at SIGTERM, and the order of backoff and line in watch.heard.

--- a/tests/test_node_service.py
+++ b/tests/test_node_service.py
@@ -22,6 +22,7 @@
 
 from puffintide.assigner.runtime import Effects
 from puffintide.node.config import load
+from puffintide.node.listener import ACCEPTS
 from puffintide.node.listing import BEHIND_S
 from puffintide.node.request import Outcome, Request
 from puffintide.node.service import Service
@@ -876,3 +877,15 @@
     node.stderr.close()
     if bad.stderr is not None:
         bad.stderr.close()
+
+
+def test_each_that_comes_in_one_turn_of_a_flood_cuts_another(platform: Platform) -> None:
+    """What is cut ends a turn later: until then it is open, and the reactor takes ever more in a turn."""
+    listener, cut = platform.node.listener, list[int]()
+    listener.strangers.clear()
+    for k in range(listener.strangers_most + 50):
+        peer: Any = listener.buildProtocol(None)
+        peer.transport = type("Pending", (), {"abortConnection": lambda self, k=k: cut.append(k)})()
+        listener.port.numberAccepts = 500
+        listener.came(peer)
+    assert cut == list(range(50)) and listener.port.numberAccepts == ACCEPTS
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -129,11 +129,11 @@
     p.node.until("stopping")
     with suppress(OSError):
         asker.sendall(b'{"msg":"ping"}\n')
+    with pytest.raises(ConnectionRefusedError):  # while the call is still on its way
+        p.node.dial()
     wire.answer(p.store.take(body))
     assert p.node.process.wait(5) == 0
     assert not p.relay.waiting(CALL) and "s-1" not in p.store.named()
-    with pytest.raises(ConnectionRefusedError):
-        p.node.dial()
     assert got(asker) == b""  # nor was it said to be alive
 
 
