Review case 1: slices without a task after an assigner's cut from the relay

Need: an independent review of the rule that no proxy is left without a task.

Change: a script with two assigners and a relay that moves slices between them; the first one is cut off for 6 s, and one task drains after that.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Case: after a cut a proxy sends writes to a slice's former owner, as its lease precedes its reading."""
+"""Case: an assigner is cut off from the relay for 6 s; slices are left without a task for good."""
 
 from __future__ import annotations
 
@@ -8,109 +8,44 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standin"))
 
-from common import BROKEN, HELD, NOT_RUN, main
-from own_services import Deployment
+from common import main
+from two_assigners import TwoAssigners
 
-NORTH, SOUTH = 0, 1
-CUT_S = 14.0  # The brief of porto-norte names 6.2 to 18 s.
-SHARED = """
-[deployment]
-name = single-writer
-zones = north, south
-assigners = 1
-proxies = 16
-slices = 24
-warm_keys = yes
-single_writer = yes
-admit = silent
-pick = rotate
-
-[channel]
-lines_per_s = 4000
-head_lines = 12
-limit = 6000
-delay_s = 0.1
-delay_max_s = 0.4
-messages_most = 20
-
-[reports]
-period_s = 0.5
-lines_per_s = 300
-names = rif
-
-[probes]
-allowed = yes
-
-[rules]
-drain_grace_s = 2.5
-cold_from = 0.3
-warm_within_s = 9
-fall_multiple = 3
-fall_s = 1.5
-bare_s = 5
-
-[charge]
-takeover_s = 2.5
-
-[class status]
-effect = repeatable
-aim_s = 0.75
-deadline_s = 2.5
-worth = 3
-
-[class start]
-effect = by_key
-window_s = 5
-aim_s = 1.5
-deadline_s = 5
-worth = 5
-
-[class charge]
-effect = once
-aim_s = 1.5
-deadline_s = 5
-worth = 2
-"""
+GRACE_S = 3.6  # `stopSendingWithinS` in the example of the wire's page.
+UNSERVED_S = 6.3  # `unservedMaxS` there, and 300 ms.
+TAKEOVER_S = 2.6  # The page has 1.9 to 3.3 s.
+CUT_S = 6.0
+DRAIN_AFTER_S = 0.5  # From the end of the cut.
+LIMITS_WAIT_S = 4.0  # From the end of the cut.
+CALM_S = 12.0
+AFTER_S = 25.0
+UNTIL_GONE_S = 5.0
 
 
 async def play(trouble: bool) -> int:
-    """Cut half of the proxies off from assigner and store for 14 s; a server drains meanwhile."""
-    deployment = Deployment(
-        Path(__file__).parent, [NORTH] * 8 + [SOUTH] * 8, [NORTH, SOUTH, NORTH, SOUTH], slices=24
+    """Cut the first of two assigners off from the relay; after that one task drains."""
+    platform = TwoAssigners(
+        Path(__file__).parent,
+        GRACE_S,
+        tasks=16,
+        proxies=8,
+        slices=80,
+        rate_per_proxy=20.0,
+        takeover_s=TAKEOVER_S,
+        unserved_s=UNSERVED_S,
     )
     try:
-        await deployment.start(SHARED, SOUTH)
-        await asyncio.sleep(14.0)
-        if trouble:
-            deployment.cut(NORTH)
-        await asyncio.sleep(0.5)
-        deployment.drain(deployment.servers[1])
-        await asyncio.sleep(CUT_S - 0.5)
+        await platform.start()
+        await asyncio.sleep(CALM_S)
+        platform.limits_from_s = platform.record.now_s() + CUT_S + LIMITS_WAIT_S
         if trouble:
-            deployment.heal(NORTH)
-        await asyncio.sleep(8.0)
-        return verdict(deployment)
+            platform.spawn(platform.cut_off(CUT_S))
+        await asyncio.sleep(CUT_S + DRAIN_AFTER_S)
+        platform.drain(list(platform.tasks.values())[:1], UNTIL_GONE_S)
+        await asyncio.sleep(AFTER_S)
+        return platform.verdict()
     finally:
-        await deployment.stop()
-
-
-def verdict(deployment: Deployment) -> int:
-    """Write the result, and return the exit status."""
-    found = deployment.writes_at_former_owner(deployment.servers[1])
-    alive = all(process.returncode is None for process in deployment.processes)
-    summary: dict[str, object] = {
-        "alive": alive,
-        "writes_run": len(deployment.writes),
-        "answered": deployment.statuses.get(0, 0),
-        "other_replies": sum(count for status, count in deployment.statuses.items() if status),
-        "writes_at_former_owner": len(found),
-        "slices": len({write.slice_id for write in found}),
-        "proxies": len({write.proxy for write in found}),
-    }
-    deployment.record.summary(summary)
-    if found:
-        return BROKEN
-    return HELD if alive and deployment.statuses.get(0, 0) > 0 else NOT_RUN
+        await platform.stop()
 
 
 main(play)
--- a/review/standin/shared_platform.py
+++ b/review/standin/shared_platform.py
@@ -237,7 +237,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.jobs: list[asyncio.Task[None]] = []
         self.ids = itertools.count(1)
-        self.listen = ""
+        self.listens: list[str] = []  # Addresses of the assigners.
         self.scratch = Path(tempfile.mkdtemp(prefix="review-"))
 
     def spawn(self, job: Any) -> None:
@@ -481,13 +481,17 @@
     # Collectors -------------------------------------------------------------------------------------
 
     async def _collect(self, zone: str, carries_heat: bool) -> None:
-        address, port = self.listen.split(":")
-        _, writer = await asyncio.open_connection(address, int(port))
-        writer.write(json.dumps({"msg": "collector", "az": zone}).encode() + b"\n")
+        writers = []
+        for listen in self.listens:
+            address, port = listen.split(":")
+            _, writer = await asyncio.open_connection(address, int(port))
+            writer.write(json.dumps({"msg": "collector", "az": zone}).encode() + b"\n")
+            writers.append(writer)
         while True:
             await asyncio.sleep(REPORT_S)
-            rows = self._sums(zone, carries_heat)
-            asyncio.get_running_loop().call_later(REPORT_DELAY_S, writer.write, b"".join(rows))
+            rows = b"".join(self._sums(zone, carries_heat))
+            for writer in writers:
+                asyncio.get_running_loop().call_later(REPORT_DELAY_S, writer.write, rows)
 
     def _sums(self, zone: str, carries_heat: bool) -> list[bytes]:
         window = 1000 * REPORT_S
@@ -528,10 +532,10 @@
         self.tables = {k: {hosts[k % len(hosts)]: 1.0} for k in range(self.slice_count)}
         discovery = await asyncio.start_server(self.serve_discovery, "127.0.0.1", 0)
         relay = await asyncio.start_server(self.serve_relay, "127.0.0.1", 0)
-        self.listen = f"127.0.0.1:{free_port()}"
+        listen = f"127.0.0.1:{free_port()}"
         config = {
             "name": "n0",
-            "listen": self.listen,
+            "listen": listen,
             "discovery": f"127.0.0.1:{discovery.sockets[0].getsockname()[1]}",
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -556,11 +560,13 @@
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", command, cwd=ROOT, env=env, stdout=log, stderr=log, start_new_session=True
         )
-        await self._wait_for_pong()
+        self.listens = [listen]
+        await self.wait_for_pong(listen)
         self.begin()
 
-    async def _wait_for_pong(self) -> None:
-        address, port = self.listen.split(":")
+    async def wait_for_pong(self, listen: str) -> None:
+        """Wait for the first sign of life of an assigner."""
+        address, port = listen.split(":")
         for _ in range(300):
             with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
                 reader, writer = await asyncio.open_connection(address, int(port))
