Review case 1: the cut begins a set time after a sign of life

Need: the result depended on the phase of the relay's signs of life, which differs with the speed of the machine.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,6 +18,7 @@
 DRAIN_AFTER_S = 0.5  # From the end of the cut.
 LIMITS_WAIT_S = 4.0  # From the end of the cut.
 CALM_S = 12.0
+CUT_AFTER_S = 0.35  # From a sign of life, so that all runs have the same timing.
 AFTER_S = 25.0
 UNTIL_GONE_S = 5.0
 
@@ -37,6 +38,7 @@
     try:
         await platform.start()
         await asyncio.sleep(CALM_S)
+        await platform.wait_for_sign_of_life(CUT_AFTER_S)
         platform.limits_from_s = platform.record.now_s() + CUT_S + LIMITS_WAIT_S
         if trouble:
             platform.spawn(platform.cut_off(CUT_S))
--- a/review/standin/two_assigners.py
+++ b/review/standin/two_assigners.py
@@ -102,6 +102,7 @@
         self.away = False  # Whether the first assigner's slices are with the other one.
         self.news_of: list[set[asyncio.StreamWriter]] = [set(), set()]
         self.way: Way | None = None
+        self.opened_s = 0.0  # When the first assigner's news connection was opened.
         self.processes: list[asyncio.subprocess.Process] = []
         self.bare: dict[tuple[int, int], float] = {}  # Since when a proxy has no line for a slice.
         self.bare_too_long: dict[tuple[int, int], float] = {}
@@ -128,6 +129,8 @@
         if index == 0 and self.away:
             self._give_back()
         self.record.write("watch_opened", assigner=index)
+        if index == 0:
+            self.opened_s = self.record.now_s()
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         rows = [self._joined(proxy, False) for proxy in self.proxies if self.begun]
         for slice_id in sorted(self.tables):
@@ -177,10 +180,15 @@
 
     # The cut ----------------------------------------------------------------------------------------
 
+    async def wait_for_sign_of_life(self, after_s: float) -> None:
+        """Wait until some time after a sign of life to the first assigner, which comes each second."""
+        since_s = (self.record.now_s() - self.opened_s) % 1.0
+        await asyncio.sleep((after_s - since_s) % 1.0)
+
     async def cut_off(self, length_s: float) -> None:
         """Cut the first assigner off from the relay; the other one gets its slices after some time."""
         assert self.way is not None
-        self.record.write("cut")
+        self.record.write("cut", since_sign_of_life=f"{(self.record.now_s() - self.opened_s) % 1.0:.2f}")
         self.way.begin_cut()
         await asyncio.sleep(self.takeover_s)
         self.away = True
