Platform: weights accepted while a slice was another assigner's are sent again

Cause: the relay accepts orders for a slice of another assigner without an effect. RelaySession._compare_table took each weight queued within 2 s before the comparison for one that the new watch does not show yet, so the director believed in an entry that was never stored and later removed the other assigner's as superfluous. Change: the time of the call decides. A weight whose call began after the slice's grant counts; one whose call ended up to 2 s before the grant, or was in flight, counts and is sent again where the listed table differs; older ones do not count. Why it works: the weight that is sent again reaches a slice that is ours, so believed and stored table agree whatever became of the first call. The end of the call is used, not the time of queueing: calls that wait out a cut looked settled. Same cause: a late line of a slice granted again was ignored for a weight of an earlier ownership; a grant forgets these now. Outbox.pending_servers is replaced by unsettled_servers in three existing tests, which assert the same set; the bound on remembered weights (under 50) stays.

--- a/puffintide/platform/relay_calls.py
+++ b/puffintide/platform/relay_calls.py
@@ -19,6 +19,7 @@
 
     orders: list[Order]
     body: bytes
+    started_at_s: float
     revoked_slices: set[int] = field(default_factory=set)  # Slices revoked since the call was sent.
 
     def may_resend(self, order: Order) -> bool:
--- a/puffintide/platform/relay_client.py
+++ b/puffintide/platform/relay_client.py
@@ -57,10 +57,10 @@
             self._next_call.start(delay_s, self.send_next)
 
     def _call(self) -> None:
-        call = self.outbox.next_call()
+        self._started_at_s = self.reactor.seconds()
+        call = self.outbox.next_call(self._started_at_s)
         self.calls += 1
         self.in_flight = True
-        self._started_at_s = self.reactor.seconds()
         limits = RequestLimits(CONNECT_TIMEOUT_S, RESPONSE_TIMEOUT_S, MAX_BODY_BYTES)
         HttpRequest(self.reactor, self.address, ("POST", CALL_TARGET, call.body), self._on_response, limits)
 
--- a/puffintide/platform/relay_outbox.py
+++ b/puffintide/platform/relay_outbox.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -16,6 +17,7 @@
 from puffintide.platform.relay_answers import INVALID, THROTTLED, CallAnswer, parse_answer
 from puffintide.platform.relay_calls import Call, NextStep, StoredTables
 from puffintide.platform.relay_orders import Order, OrderKey
+from puffintide.platform.relay_sent_weights import SETTLING_S, SentTimes, SentWeights, UnsettledServers
 from puffintide.platform.relay_state import WEIGHT_TOLERANCE
 
 MAX_CALL_BYTES = 60_000
@@ -42,6 +44,7 @@
     message_window_s: float = 10.0
     uncertain_calls: int = 0
     dropped_orders: int = 0
+    sent_weights: SentWeights = field(default_factory=SentWeights)
     _queue: dict[OrderKey, Order] = field(default_factory=dict)
     _call: Call | None = None
     # Completion times of the calls in the current window that were or may have been applied, in seconds.
@@ -67,6 +70,7 @@
 
     def revoke_slice(self, slice_id: int) -> None:
         """Drop the queued weights of a revoked slice, and exclude those in flight from retries."""
+        self.sent_weights.forget_slice(slice_id)
         if self._call is not None:
             self._call.revoked_slices.add(slice_id)
         self._queue = {
@@ -75,12 +79,27 @@
             if not (order.is_weight and key.slice_id == slice_id)
         }
 
-    def pending_servers(self, slice_id: int) -> set[int]:
-        """Return the ids of the servers whose weights in a slice are queued or in flight."""
-        pending = list(self._queue.values())
-        if self._call is not None:
-            pending += [order for order in self._call.orders if self._call.may_resend(order)]
-        return {order.key.item_id for order in pending if order.is_weight and order.key.slice_id == slice_id}
+    def unsettled_servers(self, slice_id: int, granted_at_s: float) -> UnsettledServers:
+        """Return the servers whose weights in a slice its listed table may not show.
+
+        Args:
+            slice_id: The slice.
+            granted_at_s: Time at which the grant of the slice was received, in seconds.
+        """
+        queued = self._weights_of(slice_id, self._queue.values())
+        sent = self.sent_weights.sent_since(slice_id, granted_at_s - SETTLING_S)
+        call = self._call
+        if call is not None:
+            in_flight = SentTimes(call.started_at_s, ended_at_s=math.inf)
+            resent = self._weights_of(slice_id, filter(call.may_resend, call.orders))
+            sent |= dict.fromkeys(resent, in_flight)
+        newer = queued | {server for server, times in sent.items() if times.started_at_s > granted_at_s}
+        return UnsettledServers(frozenset(newer), frozenset(sent.keys() - newer))
+
+    @staticmethod
+    def _weights_of(slice_id: int, orders: Iterable[Order]) -> set[int]:
+        """Return the ids of the servers whose weights in a slice are among the orders."""
+        return {order.key.item_id for order in orders if order.is_weight and order.key.slice_id == slice_id}
 
     def ready_in_s(self, now_s: float) -> float | None:
         """Return the seconds until the next call may be made.
@@ -96,7 +115,7 @@
             return max(0.0, self._call_times[0] + self.message_window_s - now_s)
         return 0.0
 
-    def next_call(self) -> Call:
+    def next_call(self, now_s: float) -> Call:
         """Build and return the next call.
 
         If the queue exceeds the size limit, orders are selected by priority and the rest stays queued.
@@ -113,7 +132,8 @@
             selected.append(order)
         for order in selected:
             del self._queue[order.key]
-        self._call = Call(selected, CALL_PREFIX + b",".join(order.text for order in selected) + CALL_SUFFIX)
+        body = CALL_PREFIX + b",".join(order.text for order in selected) + CALL_SUFFIX
+        self._call = Call(selected, body, now_s)
         return self._call
 
     def on_response(self, now_s: float, response: Response) -> NextStep:
@@ -215,7 +235,7 @@
         call = self._end_call()
         self._invalid_answers = 0
         if accepted > 0:
-            self._call_times.append(now_s)
+            self._count_call(now_s, call, call.orders[:accepted])
             self._rejected_once.difference_update(order.key for order in call.orders[:accepted])
         if accepted >= len(call.orders):
             return None
@@ -239,9 +259,14 @@
         """
         call = self._end_call()
         if maybe_applied:
-            self._call_times.append(now_s)
+            self._count_call(now_s, call, call.orders)
         self._requeue(call, call.orders)
 
+    def _count_call(self, now_s: float, call: Call, orders: list[Order]) -> None:
+        """Count a call that was or may have been applied, with the orders that the relay accepted."""
+        self._call_times.append(now_s)
+        self.sent_weights.record(orders, SentTimes(call.started_at_s, ended_at_s=now_s))
+
     @property
     def has_weights_in_flight(self) -> bool:
         """Whether the relay's tables can show if the call in flight was applied."""
--- /dev/null
+++ b/puffintide/platform/relay_sent_weights.py
@@ -0,0 +1,80 @@
+"""Remembers when weights were sent, to compare tables with those that the relay lists. Performs no I/O.
+
+The relay accepts weights for a slice of another assigner without an effect. While the watch is broken, a slice
+can be revoked and granted again without a message, so an accepted weight may be neither in the listed table nor
+in the current one. Only a call that began after the grant was received is known to have had an effect.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from puffintide.platform.relay_orders import Order
+
+SETTLING_S = 2.0  # Weights sent longer before a grant than this are in the listed table or had no effect.
+RETENTION_S = (
+    10.0  # Covers SETTLING_S and the time from a grant to the heartbeat at which tables are compared.
+)
+
+
+@dataclass(frozen=True, slots=True)
+class SentTimes:
+    """The times of the call that last sent a weight, in seconds.
+
+    Attributes:
+        started_at_s: Time at which the call began.
+        ended_at_s: Time at which its response was received or given up.
+    """
+
+    started_at_s: float
+    ended_at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class UnsettledServers:
+    """Servers whose weights in one slice the listed table may not show.
+
+    Attributes:
+        newer: Their weights are queued or were sent after the grant, and replace what is listed.
+        uncertain: Their weights were sent shortly before the grant, and may have had no effect.
+    """
+
+    newer: frozenset[int]
+    uncertain: frozenset[int]
+
+
+class SentWeights:
+    """The times at which weights were last sent, by slice id and server id."""
+
+    def __init__(self) -> None:
+        self._sent: dict[int, dict[int, SentTimes]] = {}
+
+    def __len__(self) -> int:
+        return sum(map(len, self._sent.values()))
+
+    def record(self, orders: Iterable[Order], times: SentTimes) -> None:
+        """Record the weights of a call that was or may have been applied."""
+        for order in orders:
+            if order.is_weight:
+                self._sent.setdefault(order.key.slice_id, {})[order.key.item_id] = times
+
+    def forget_slice(self, slice_id: int) -> None:
+        """Forget the weights of a slice whose table is replaced."""
+        self._sent.pop(slice_id, None)
+
+    def forget_old(self, now_s: float) -> None:
+        """Forget weights that were sent more than RETENTION_S ago."""
+        for slice_id, sent in list(self._sent.items()):
+            recent = {
+                server: times for server, times in sent.items() if times.ended_at_s > now_s - RETENTION_S
+            }
+            if recent:
+                self._sent[slice_id] = recent
+            else:
+                del self._sent[slice_id]
+
+    def sent_since(self, slice_id: int, time_s: float) -> dict[int, SentTimes]:
+        """Return the weights of a slice whose calls ended after a time in seconds, by server id."""
+        sent = self._sent.get(slice_id, {})
+        return {server: times for server, times in sent.items() if times.ended_at_s > time_s}
--- a/puffintide/platform/relay_session.py
+++ b/puffintide/platform/relay_session.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from puffintide.assigner.runtime import Effects
+from puffintide.decisions.actions import Action, SetWeight
 from puffintide.decisions.director import Director
 from puffintide.decisions.events import CheckpointAcknowledged, StoredWeight
 from puffintide.platform.config import Address
@@ -12,13 +13,14 @@
 from puffintide.platform.message_decoding import MS_PER_S, quoted
 from puffintide.platform.relay_client import RelayClient
 from puffintide.platform.relay_messages import CheckpointApplied, ProxyJoined
-from puffintide.platform.relay_orders import Order, OrderEncoder, OrderKey, OrderType
+from puffintide.platform.relay_orders import Order, OrderEncoder, OrderType
 from puffintide.platform.relay_outbox import Outbox
-from puffintide.platform.relay_state import RelayChanges, merge_tables, tables_differ
+from puffintide.platform.relay_sent_weights import UnsettledServers
+from puffintide.platform.relay_state import RelayChanges, differing_servers, merge_tables, tables_differ
 from puffintide.platform.relay_watch import RelayWatch
 from puffintide.protocol.messages import SliceOwnership, TableEntry
 
-SETTLING_S = 2.0  # Time for which a sent weight may be missing from the relay's tables, in seconds.
+RESEND_DELAY_S = 0.01  # Lets the orders of the next round replace weights that would be sent again.
 FENCING_TOKEN = 1  # A constant suffices because the relay itself fences writers.
 MAX_LOGGED_WITHDRAWALS = 5  # Maximum withdrawals of one round in the log.
 
@@ -41,7 +43,6 @@
         self.client = RelayClient(context.reactor, address, self.outbox, context.log)
         self.watch = RelayWatch(context.reactor, address, self.on_changes, on_first_state, context.log)
         self._encoder = OrderEncoder(context.names, context.hosts)
-        self._sent_weights: dict[OrderKey, float] = {}  # Time at which each weight was last queued.
 
     def start(self) -> None:
         """Open the watch."""
@@ -60,12 +61,9 @@
         """Stop making calls, and call on_stopped once none is in flight."""
         self.client.stop(on_stopped)
 
-    def forget_settled_weights(self) -> None:
-        """Forget sent weights that are old enough to be present in the relay's tables."""
-        settled_before_s = self.context.reactor.seconds() - SETTLING_S
-        self._sent_weights = {
-            key: sent_at_s for key, sent_at_s in self._sent_weights.items() if sent_at_s > settled_before_s
-        }
+    def forget_old_weights(self) -> None:
+        """Forget sent weights that are no longer compared with the relay's tables."""
+        self.outbox.sent_weights.forget_old(self.context.reactor.seconds())
 
     # From the relay ---------------------------------------------------------------------------------
 
@@ -132,58 +130,67 @@
             now_s, SliceOwnership(slice_id, FENCING_TOKEN, assigner_index, entries)
         )
 
-    def _unsettled_servers(self, slice_id: int) -> set[int]:
-        """Return the servers of a slice whose weights are pending or may not be in the relay's tables yet."""
-        settled_before_s = self.context.reactor.seconds() - SETTLING_S
-        recent = {
-            key.item_id
-            for key, sent_at_s in self._sent_weights.items()
-            if key.slice_id == slice_id and sent_at_s > settled_before_s
-        }
-        return recent | self.outbox.pending_servers(slice_id)
+    def _unsettled_servers(self, slice_id: int) -> UnsettledServers:
+        return self.outbox.unsettled_servers(slice_id, self.watch.granted_at_s.get(slice_id, 0.0))
 
     def _add_weights(self, now_s: float, slice_id: int, weights: dict[str, float]) -> None:
         """Add entries to a table that the runtime has already received."""
-        unsettled = self._unsettled_servers(slice_id)
+        newer = self._unsettled_servers(slice_id).newer
         added = self._by_server_id(weights)
         self.log("weights_added", slice=slice_id, weights=len(weights))
         events = [
             StoredWeight(slice_id, server_id, weight)
             for server_id, weight in added.items()
-            if server_id not in unsettled
+            if server_id not in newer
         ]
         self.context.runtime.add_events(now_s, *events)
 
     def _compare_table(self, now_s: float, slice_id: int, table: dict[str, float]) -> None:
-        """Replace the table of a slice that another assigner has modified during a reconnection."""
+        """Replace the table of a slice that another assigner has modified during a reconnection.
+
+        Weights that may have had no effect are sent again, as the slice may have been another assigner's.
+        """
         hosts = self.context.hosts
         stored = {hosts.register(host): weight for host, weight in table.items() if weight > 0}
         director = self.context.runtime.director
         view = director.slices.get(slice_id) if isinstance(director, Director) else None
         expected = view.weights if view is not None else {}
         unsettled = self._unsettled_servers(slice_id)
-        if tables_differ(stored, expected, unsettled):
+        unsettled_ids = unsettled.newer | unsettled.uncertain
+        if tables_differ(stored, expected, unsettled_ids):
             self.log("table_differs", slice=slice_id, stored=len(stored), believed=len(expected))
-            self._grant_ownership(
-                now_s, slice_id, dict(sorted(merge_tables(stored, expected, unsettled).items()))
+            merged = merge_tables(stored, expected, unsettled_ids)
+            self._grant_ownership(now_s, slice_id, dict(sorted(merged.items())))
+        differing = differing_servers(stored, expected, unsettled.uncertain)
+        if differing:
+            self._resend_weights(
+                slice_id, {server_id: expected.get(server_id, 0.0) for server_id in differing}
             )
 
+    def _resend_weights(self, slice_id: int, weights: dict[int, float]) -> None:
+        self.log("weights_resent", slice=slice_id, weights=len(weights))
+        actions = [SetWeight(slice_id, server_id, weight) for server_id, weight in sorted(weights.items())]
+        self._queue(actions)
+        self.context.reactor.callLater(RESEND_DELAY_S, self.client.send_next)
+
     # To the relay -----------------------------------------------------------------------------------
 
     def send(self, effects: Effects) -> None:
         """Queue the orders of a round, and make the next call if possible."""
         if not effects.actions:
             return
-        orders, errors = self._encoder.encode(effects.actions, self.context.runtime.fencing_tokens)
+        orders = self._queue(effects.actions)
+        if orders:
+            self.client.send_next()
+            self._log_decision(effects, orders)
+
+    def _queue(self, actions: Iterable[Action]) -> list[Order]:
+        """Queue the orders of actions, and return them."""
+        orders, errors = self._encoder.encode(actions, self.context.runtime.fencing_tokens)
         for error in errors:
             self.log("order_invalid", reason=error)
-        if not orders:
-            return
-        now_s = self.context.reactor.seconds()
-        self._sent_weights.update((order.key, now_s) for order in orders if order.is_weight)
         self.outbox.put(orders)
-        self.client.send_next()
-        self._log_decision(effects, orders)
+        return orders
 
     def _log_decision(self, effects: Effects, orders: list[Order]) -> None:
         withdrawals = [
--- a/puffintide/platform/relay_state.py
+++ b/puffintide/platform/relay_state.py
@@ -229,7 +229,15 @@
     Entries of unsettled servers are not compared, as the relay may not have stored them yet.
     """
     compared = (stored.keys() | expected.keys()) - set(unsettled_servers)
-    return any(
-        abs(stored.get(server_id, 0.0) - expected.get(server_id, 0.0)) > WEIGHT_TOLERANCE
-        for server_id in compared
-    )
+    return bool(differing_servers(stored, expected, compared))
+
+
+def differing_servers(
+    stored: Mapping[int, float], expected: Mapping[int, float], server_ids: Collection[int]
+) -> list[int]:
+    """Return which of the servers have different weights in two tables. A missing entry has weight 0."""
+    return [
+        server_id
+        for server_id in server_ids
+        if abs(stored.get(server_id, 0.0) - expected.get(server_id, 0.0)) > WEIGHT_TOLERANCE
+    ]
--- a/puffintide/platform/relay_watch.py
+++ b/puffintide/platform/relay_watch.py
@@ -8,7 +8,7 @@
 from puffintide.platform.errors import InvalidMessageError, MalformedMessageError, StreamError
 from puffintide.platform.log import Log
 from puffintide.platform.reactor import Reactor, Timer
-from puffintide.platform.relay_messages import WATCH_TARGET, Heartbeat, decode_relay_message
+from puffintide.platform.relay_messages import WATCH_TARGET, Heartbeat, SliceGranted, decode_relay_message
 from puffintide.platform.relay_state import RelayChanges, RelayState
 from puffintide.platform.watch_stream import Watch
 
@@ -41,8 +41,10 @@
         self.state = RelayState()
         self.watch = Watch(reactor, address, self, SILENCE_TIMEOUT_S)
         self.flushed = False
+        self.granted_at_s: dict[int, float] = {}  # Times at which slices were last granted, by slice id.
         self._on_changes = on_changes
         self._on_first_flush = on_first_flush
+        self._clock = reactor
         self._idle_timer = Timer(reactor)
 
     def stop(self) -> None:
@@ -80,6 +82,8 @@
         if isinstance(message, Heartbeat):
             self._flush(at_heartbeat=True)
             return
+        if isinstance(message, SliceGranted) and message.granted:
+            self.granted_at_s[message.slice_id] = self._clock.seconds()
         self._on_changes(self.state.on_message(message))
         if self.state.has_unflushed:
             idle_s = SNAPSHOT_IDLE_S if self.state.in_snapshot else TABLE_IDLE_S
--- a/puffintide/platform/service.py
+++ b/puffintide/platform/service.py
@@ -166,7 +166,7 @@
             for view in director.slices.values():
                 retained |= view.weights.keys()
         self.hosts.retain(retained)
-        self.relay.forget_settled_weights()
+        self.relay.forget_old_weights()
 
 
 def _max_unidentified_connections(config: Config) -> int:
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -153,6 +153,7 @@
         self.tables: dict[int, dict[str, float]] = {s: {f"s-{s % SERVERS}": 1.0} for s in range(SLICES)}
         self.withdrawn_hosts: set[str] = set()
         self.first_connections = set(self.proxies)  # Proxies that have not received any table yet.
+        self.foreign_slices = set[int]()  # Slices of another assigner: weights for them are ignored.
 
     def answer(self, connection: ServerConnection, method: str, _target: str, body: bytes) -> None:
         if method == "GET":
@@ -189,14 +190,19 @@
             row = {"sidecar": proxy_id, "az": "a", "share": 5.0, "standing": is_first}
             connection.send_line({"type": "joined", "object": row})
         self.first_connections = set()
-        for slice_id, table in self.tables.items():
-            connection.send_line({"type": "given", "object": {"partition": slice_id, "yes": True}})
-            for host, share in table.items():
-                weight = {"partition": slice_id, "host": host, "share": share}
-                connection.send_line({"type": "held", "object": weight})
+        for slice_id in self.tables.keys() - self.foreign_slices:
+            self.send_table(connection, slice_id)
+
+    def send_table(self, connection: ServerConnection, slice_id: int) -> None:
+        connection.send_line({"type": "given", "object": {"partition": slice_id, "yes": True}})
+        for host, share in self.tables[slice_id].items():
+            weight = {"partition": slice_id, "host": host, "share": share}
+            connection.send_line({"type": "held", "object": weight})
 
     def apply(self, row: dict[str, Any]) -> None:
         match row["do"]:
+            case "SET" if row["group"] in self.foreign_slices:
+                pass
             case "SET" if row["share"] > 0:
                 self.tables[row["group"]][row["host"]] = row["share"]
             case "SET":
--- a/tests/test_platform_relay_outbox.py
+++ b/tests/test_platform_relay_outbox.py
@@ -95,12 +95,17 @@
 
 
 def next_orders(outbox: Outbox) -> list[Order]:
-    call = outbox.next_call()
+    call = outbox.next_call(0.0)
     assert [json.loads(o.text) for o in call.orders] == json.loads(call.body)["orders"]
     assert len(call.body) <= MAX_CALL_BYTES
     return call.orders
 
 
+def unsettled_servers(outbox: Outbox, slice_id: int) -> set[int]:
+    unsettled = outbox.unsettled_servers(slice_id, granted_at_s=0.0)
+    return set(unsettled.newer | unsettled.uncertain)
+
+
 def test_one_batch_is_one_call_and_calls_do_not_overlap() -> None:
     outbox = Outbox()
     assert outbox.ready_in_s(0.0) is None
@@ -120,7 +125,7 @@
 def test_rejected_order_is_dropped_and_the_rest_is_sent() -> None:
     outbox = Outbox()
     outbox.put([weight_order(1, 1.0), weight_order(2, 1.0), weight_order(3, 1.0)])
-    outbox.next_call()
+    outbox.next_call(0.0)
     assert outbox.accept(0.0, 1) is None
     # The rejected order is retried once, after the others.
     assert [o.key.item_id for o in next_orders(outbox)] == [3, 2]
@@ -133,7 +138,7 @@
 def test_retry_of_an_uncertain_call_never_replaces_a_newer_order() -> None:
     outbox = Outbox()
     outbox.put([weight_order(1, 1.0), weight_order(2, 1.0)])
-    outbox.next_call()
+    outbox.next_call(0.0)
     outbox.put([weight_order(1, 0.0), weight_order(4, 1.0)])
     outbox.retry(0.0, maybe_applied=True)
     assert [(o.key.item_id, json.loads(o.text)["share"]) for o in next_orders(outbox)] == [
@@ -155,13 +160,13 @@
     for tables, applied in cases:
         outbox = Outbox()
         outbox.put([withdrawal_order(9), added_weight(0, 2), removed_weight(0, 1)])
-        outbox.next_call()
+        outbox.next_call(0.0)
         assert outbox.has_weights_in_flight
         assert outbox.resolve(0.0, tables, complete=False) is applied
         assert len(outbox) == (0 if applied else 3)
     outbox = Outbox()
     outbox.put([withdrawal_order(1)])
-    outbox.next_call()
+    outbox.next_call(0.0)
     assert not outbox.has_weights_in_flight
 
 
@@ -169,7 +174,7 @@
 def test_missing_weight_proves_its_removal_only_in_a_complete_snapshot(complete: bool, applied: bool) -> None:
     outbox = Outbox(max_messages_per_window=1, message_window_s=10.0)
     outbox.put([removed_weight(0, 1)])
-    outbox.next_call()
+    outbox.next_call(0.0)
     assert outbox.resolve(0.0, {0: {}}, complete) is applied
     assert len(outbox) == (0 if applied else 1)
     assert outbox.ready_in_s(1.0) in (None, 9.0)  # A call that may have been applied counts as a message.
@@ -187,10 +192,10 @@
     for end_call in end_calls:
         outbox = Outbox()
         outbox.put(added_weight(s, 1) for s in (5, 6))
-        outbox.next_call()
+        outbox.next_call(0.0)
         outbox.revoke_slice(5)
-        assert outbox.pending_servers(6) == {1}
-        assert not outbox.pending_servers(5)
+        assert unsettled_servers(outbox, 6) == {1}
+        assert not unsettled_servers(outbox, 5)
         end_call(outbox)
         assert [o.key for o in next_orders(outbox)] == [weight_key(6, 1)]
 
@@ -201,7 +206,7 @@
     ) -> tuple[bool, bool, int]:
         outbox = Outbox()
         outbox.put([added_weight(0, 2) if with_weight else withdrawal_order(1)])
-        outbox.next_call()
+        outbox.next_call(0.0)
         step = outbox.on_response(0.0, Response(result, 200, body))
         return step.snapshot, step.delay_s > 0, len(outbox)
 
@@ -226,7 +231,7 @@
 def test_failed_snapshots_are_repeated_a_limited_number_of_times() -> None:
     outbox = Outbox()
     outbox.put([added_weight(0, 2)])
-    outbox.next_call()
+    outbox.next_call(0.0)
     step, snapshots, delays = outbox.on_response(0.0, Response(RequestResult.TIMED_OUT)), 0, list[float]()
     while step.snapshot:
         snapshots, delays = snapshots + 1, [*delays, step.delay_s]
@@ -242,7 +247,7 @@
     for now, applied in ((0.0, True), (1.0, False), (2.0, True)):
         outbox.put([weight_order(1, now)])
         assert outbox.ready_in_s(now) == 0.0
-        outbox.next_call()
+        outbox.next_call(0.0)
         outbox.retry(now, applied)
     assert outbox.ready_in_s(3.0) == 7.0  # Two of the three calls may have been applied.
     assert outbox.ready_in_s(10.5) == 0.0
@@ -266,24 +271,49 @@
 def test_throttled_call_is_requeued_and_invalid_call_is_dropped_after_three_attempts() -> None:
     outbox = Outbox(max_messages_per_window=1)
     outbox.put([weight_order(1, 1.0)])
-    outbox.next_call()
+    outbox.next_call(0.0)
     outbox.requeue_throttled()
     assert outbox.ready_in_s(0.0) == 0.0  # A throttled call does not count as a message.
     for _ in range(2):
-        outbox.next_call()
+        outbox.next_call(0.0)
         assert not outbox.reject()
-    outbox.next_call()
+    outbox.next_call(0.0)
     assert outbox.reject()
     assert len(outbox) == 0
 
 
+@pytest.mark.parametrize(
+    ("started_at_s", "ended_at_s", "newer", "uncertain"),
+    [
+        (1.0, 1.1, False, False),  # Long before the grant: the listed table is right.
+        (8.5, 8.6, False, True),  # The slice may have been another assigner's.
+        (1.0, 9.9, False, True),  # The call was given up shortly before the grant.
+        (9.9, None, False, True),  # In flight as the grant was received.
+        (10.1, None, True, False),
+        (10.1, 10.2, True, False),
+    ],
+)
+def test_only_a_call_that_began_after_a_grant_is_newer_than_the_granted_table(
+    started_at_s: float, ended_at_s: float | None, newer: bool, uncertain: bool
+) -> None:
+    outbox = Outbox()
+    outbox.put([added_weight(0, 2)])
+    outbox.next_call(started_at_s)
+    if ended_at_s is not None:
+        outbox.accept(ended_at_s, 1)
+    unsettled = outbox.unsettled_servers(0, granted_at_s=10.0)
+    assert (2 in unsettled.newer, 2 in unsettled.uncertain) == (newer, uncertain)
+    outbox.revoke_slice(0)
+    assert not unsettled_servers(outbox, 0)
+
+
 def test_queued_weights_of_a_revoked_slice_are_dropped() -> None:
     outbox = Outbox()
     outbox.put([weight_order(1, 1.0, 5), weight_order(1, 1.0, 6), withdrawal_order(5)])
     outbox.revoke_slice(5)
     assert [o.key for o in next_orders(outbox)] == [weight_key(6, 1), withdrawal_key(5)]
-    assert outbox.pending_servers(6) == {1}
-    assert not outbox.pending_servers(5)
+    assert unsettled_servers(outbox, 6) == {1}
+    assert not unsettled_servers(outbox, 5)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_platform_relay_session.py
+++ b/tests/test_platform_relay_session.py
@@ -125,12 +125,59 @@
     assert not platform.logged("table_differs")
 
 
+@pytest.mark.parametrize("returned_after_s", [0.0, 0.4])
+def test_orders_ignored_while_another_assigner_owned_the_slice_leave_no_empty_table(
+    platform: Platform, returned_after_s: float
+) -> None:
+    """Guards against slices without a server: orders accepted without effect were believed to be stored."""
+    relay = platform.relay
+    relay.unresponsive = True  # The watch is silent, so the revocation is not received.
+    relay.foreign_slices = {1}
+    platform.discovery.change(entry(1, "leaving"))
+    platform.advance(0.05)
+    ordered_host = next(iter(platform.director_tables()[1]))
+    heir_host = next(f"s-{k}" for k in (0, 2, 3) if f"s-{k}" != ordered_host)
+    relay.tables[1] = {heir_host: 1.0}
+    relay.unresponsive = False
+    if not returned_after_s:
+        relay.foreign_slices = set()
+    platform.break_watches()
+    platform.advance(returned_after_s)
+    if returned_after_s:
+        relay.foreign_slices = set()
+        relay.send_table(relay.watches()[0], 1)
+    platform.advance(3.0)
+    platform.discovery.change(entry(int(heir_host[2:]), "leaving"))
+    platform.advance(1.0)
+    assert all(relay.tables.values())
+    assert platform.director_tables() == relay.tables
+
+
+def test_late_weight_of_a_slice_granted_again_counts_whatever_was_ordered_before(platform: Platform) -> None:
+    """Guards against requests to a draining server in an entry that was taken for an older one of our own."""
+    relay = platform.relay
+    platform.discovery.change(entry(1, "leaving"))
+    platform.advance(0.05)
+    platform.discovery.change(entry(1))
+    relay.broadcast({"type": "given", "object": {"partition": 1, "yes": False}})
+    relay.tables[1] = {"s-0": 1.0, "s-1": 1.0}  # As another assigner left it.
+    relay.broadcast({"type": "given", "object": {"partition": 1, "yes": True}})
+    relay.broadcast({"type": "held", "object": {"partition": 1, "host": "s-0", "share": 1.0}})
+    platform.advance(0.05)
+    relay.broadcast({"type": "held", "object": {"partition": 1, "host": "s-1", "share": 1.0}})
+    platform.advance(0.05)
+    platform.discovery.change(entry(1, "leaving"))
+    platform.advance(3.0)
+    assert "s-1" not in relay.routable_hosts()
+    assert platform.director_tables() == relay.tables
+
+
 @pytest.mark.parametrize("granted_again", [False, True])
 def test_queued_orders_of_a_revoked_slice_are_never_sent(platform: Platform, granted_again: bool) -> None:
     platform.relay.call_results = ["throttled"] * 4
     platform.discovery.change(entry(1, "leaving"))
     platform.advance(0.1)
-    assert platform.assigner.relay.outbox.pending_servers(1)
+    assert platform.assigner.relay.outbox.unsettled_servers(1, granted_at_s=0.0).newer
     platform.relay.tables[1] = {"s-0": 1.0}
     platform.relay.broadcast({"type": "given", "object": {"partition": 1, "yes": granted_again}})
     if granted_again:  # The slice is granted again with another table.
--- a/tests/test_platform_service.py
+++ b/tests/test_platform_service.py
@@ -129,7 +129,7 @@
     assert len(assigner.hosts) < 960
     assert len(assigner.health_checks.clients) <= SERVERS
     assert len(assigner.runtime.server_addresses) < 200
-    assert len(assigner.relay._sent_weights) < 50
+    assert len(assigner.relay.outbox.sent_weights) < 50
 
 
 def test_sigterm_waits_for_a_call_in_flight(platform: Platform) -> None:
