Platform: retries of broken calls leave room for drains in the message window

No call was made until the window of 10 s had passed. Cause: the call was repeated each 90 ms and each try counted as a message that may have been written, 20 of 20 allowed.

Change: an entry with another weight than the ordered one proves that a call was not applied (Call.outcome), which then does not count; the backoff is reset by success alone; once over half of the messages are used, retries that may have been applied are spread over the rest of the window (MessageWindow). Encoding and selection of calls move from the outbox to relay_calls. Why it works: a call is applied completely or not at all, so one contrary entry disproves it; the queue goes out as one call, so that a drain waits for a single free message, and one is always near. Related: calls without weights can never be resolved and always count.

--- a/puffintide/platform/relay_orders.py
+++ b/puffintide/platform/relay_orders.py
@@ -82,6 +82,11 @@
         return self.key.order_type is OrderType.WEIGHT
 
 
+def servers_with_weights(slice_id: int, orders: Iterable[Order]) -> set[int]:
+    """Return the ids of the servers whose weights in a slice are among the orders."""
+    return {order.key.item_id for order in orders if order.is_weight and order.key.slice_id == slice_id}
+
+
 class OrderEncoder:
     """Encodes actions as orders and omits those that concern only this process."""
 
--- a/puffintide/platform/relay_outbox.py
+++ b/puffintide/platform/relay_outbox.py
@@ -9,21 +9,22 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from puffintide.platform.http_exchange import RequestResult, Response
 from puffintide.platform.relay_answers import INVALID, THROTTLED, CallAnswer, parse_answer
-from puffintide.platform.relay_calls import Call, NextStep, StoredTables
-from puffintide.platform.relay_orders import Order, OrderKey
-from puffintide.platform.relay_sent_weights import SETTLING_S, SentTimes, SentWeights, UnsettledServers
-from puffintide.platform.relay_state import WEIGHT_TOLERANCE
-
-MAX_CALL_BYTES = 60_000
-CALL_PREFIX = b'{"orders":['
-CALL_SUFFIX = b"]}"
-EMPTY_CALL_BYTES = len(CALL_PREFIX + CALL_SUFFIX)
+from puffintide.platform.relay_calls import Call, CallOutcome, NextStep, StoredTables, orders_of_next_call
+from puffintide.platform.relay_message_window import MessageWindow
+from puffintide.platform.relay_orders import Order, OrderKey, servers_with_weights
+from puffintide.platform.relay_sent_weights import (
+    SETTLING_S,
+    SentTimes,
+    SentWeights,
+    UnsettledServers,
+    classify_unsettled,
+)
+
 INITIAL_BACKOFF_S = 0.02  # Delay before the first retry of a call or a snapshot. Doubles with each retry.
 MAX_BACKOFF_S = 0.5
 THROTTLED_RETRY_S = 0.25
@@ -47,13 +48,15 @@
     sent_weights: SentWeights = field(default_factory=SentWeights)
     _queue: dict[OrderKey, Order] = field(default_factory=dict)
     _call: Call | None = None
-    # Completion times of the calls in the current window that were or may have been applied, in seconds.
-    _call_times: deque[float] = field(default_factory=deque)
+    _window: MessageWindow = field(init=False)  # Counts calls that were or may have been applied.
     _invalid_answers: int = 0
     _rejected_once: set[OrderKey] = field(default_factory=set)
     _backoff_s: float = INITIAL_BACKOFF_S
     _failed_snapshots: int = 0
 
+    def __post_init__(self) -> None:
+        self._window = MessageWindow(self.max_messages_per_window, self.message_window_s)
+
     def __len__(self) -> int:
         return len(self._queue) + (len(self._call.orders) if self._call else 0)
 
@@ -86,20 +89,14 @@
             slice_id: The slice.
             granted_at_s: Time at which the grant of the slice was received, in seconds.
         """
-        queued = self._weights_of(slice_id, self._queue.values())
+        queued = servers_with_weights(slice_id, self._queue.values())
         sent = self.sent_weights.sent_since(slice_id, granted_at_s - SETTLING_S)
         call = self._call
         if call is not None:
             in_flight = SentTimes(call.started_at_s, ended_at_s=math.inf)
-            resent = self._weights_of(slice_id, filter(call.may_resend, call.orders))
-            sent |= dict.fromkeys(resent, in_flight)
-        newer = queued | {server for server, times in sent.items() if times.started_at_s > granted_at_s}
-        return UnsettledServers(frozenset(newer), frozenset(sent.keys() - newer))
-
-    @staticmethod
-    def _weights_of(slice_id: int, orders: Iterable[Order]) -> set[int]:
-        """Return the ids of the servers whose weights in a slice are among the orders."""
-        return {order.key.item_id for order in orders if order.is_weight and order.key.slice_id == slice_id}
+            resendable = filter(call.may_resend, call.orders)
+            sent |= dict.fromkeys(servers_with_weights(slice_id, resendable), in_flight)
+        return classify_unsettled(queued, sent, granted_at_s)
 
     def ready_in_s(self, now_s: float) -> float | None:
         """Return the seconds until the next call may be made.
@@ -109,31 +106,17 @@
         """
         if self._call is not None or not self._queue:
             return None
-        while self._call_times and self._call_times[0] <= now_s - self.message_window_s:
-            self._call_times.popleft()
-        if self.max_messages_per_window and len(self._call_times) >= self.max_messages_per_window:
-            return max(0.0, self._call_times[0] + self.message_window_s - now_s)
-        return 0.0
+        return self._window.ready_in_s(now_s)
 
     def next_call(self, now_s: float) -> Call:
         """Build and return the next call.
 
         If the queue exceeds the size limit, orders are selected by priority and the rest stays queued.
         """
-        orders = list(self._queue.values())
-        if sum(len(order.text) + 1 for order in orders) + EMPTY_CALL_BYTES > MAX_CALL_BYTES:
-            orders.sort(key=lambda order: order.priority)
-        size = EMPTY_CALL_BYTES
-        selected = []
-        for order in orders:
-            size += len(order.text) + 1
-            if size > MAX_CALL_BYTES:
-                break
-            selected.append(order)
+        selected = orders_of_next_call(list(self._queue.values()))
         for order in selected:
             del self._queue[order.key]
-        body = CALL_PREFIX + b",".join(order.text for order in selected) + CALL_SUFFIX
-        self._call = Call(selected, body, now_s)
+        self._call = Call(selected, now_s)
         return self._call
 
     def on_response(self, now_s: float, response: Response) -> NextStep:
@@ -175,6 +158,7 @@
             self._failed_snapshots = 0
         else:
             self.retry(now_s, maybe_applied=reachable)
+            delay_s = max(delay_s, self._window.retry_delay_s(now_s))
         fields = {
             "result": response.result,
             "status": response.status,
@@ -192,14 +176,16 @@
             complete: Whether the whole snapshot was received. Otherwise entries may be missing.
         """
         if tables is not None:
-            self._backoff_s = INITIAL_BACKOFF_S
             applied = self.resolve(now_s, tables, complete)
-            return NextStep(event="call_resolved", fields={"applied": applied})
+            if applied:
+                self._backoff_s = INITIAL_BACKOFF_S
+            delay_s = 0.0 if applied else self._window.retry_delay_s(now_s)
+            return NextStep(delay_s, event="call_resolved", fields={"applied": applied})
         self._failed_snapshots += 1
         if self._failed_snapshots < MAX_SNAPSHOT_ATTEMPTS:
             return NextStep(self._next_backoff_s(), snapshot=True)
         self.retry(now_s, maybe_applied=True)
-        return NextStep(self._next_backoff_s())
+        return NextStep(max(self._next_backoff_s(), self._window.retry_delay_s(now_s)))
 
     def _next_backoff_s(self) -> float:
         delay_s = self._backoff_s
@@ -264,7 +250,7 @@
 
     def _count_call(self, now_s: float, call: Call, orders: list[Order]) -> None:
         """Count a call that was or may have been applied, with the orders that the relay accepted."""
-        self._call_times.append(now_s)
+        self._window.record(now_s)
         self.sent_weights.record(orders, SentTimes(call.started_at_s, ended_at_s=now_s))
 
     @property
@@ -275,10 +261,6 @@
     def resolve(self, now_s: float, tables: StoredTables, complete: bool) -> bool:
         """Determine from the relay's tables whether the call was applied.
 
-        A call is applied either completely or not at all. A missing table proves nothing. If all tables are
-        missing, the call counts as not applied, so that no order is lost. A missing entry proves its removal
-        only if the snapshot is complete.
-
         Args:
             now_s: The current time, in seconds.
             tables: The tables of the owned slices that the snapshot contains.
@@ -287,23 +269,12 @@
         Returns:
             Whether the call was applied. Otherwise its orders are requeued.
         """
-        call = self._current_call()
-        weights = [
-            order.weight
-            for order in call.orders
-            if order.weight is not None and call.may_resend(order) and order.weight.slice_id in tables
-        ]
-        all_agree = all(
-            abs(tables[slice_id].get(host, 0.0) - weight) < WEIGHT_TOLERANCE
-            for slice_id, host, weight in weights
-        )
-        any_present = any(entry.weight > 0 for entry in weights)
-        applied = all_agree and (any_present or (complete and bool(weights)))
-        if applied:
-            self.accept(now_s, len(call.orders))
-        else:
-            self.retry(now_s, maybe_applied=not complete)
-        return applied
+        outcome = self._current_call().outcome(tables, complete)
+        if outcome is CallOutcome.APPLIED:
+            self.accept(now_s, len(self._current_call().orders))
+            return True
+        self.retry(now_s, maybe_applied=outcome is CallOutcome.UNKNOWN)
+        return False
 
     def reject(self) -> bool:
         """End a call that the relay answered with INVALID, and requeue or drop its orders.
--- a/puffintide/platform/relay_sent_weights.py
+++ b/puffintide/platform/relay_sent_weights.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 from puffintide.platform.relay_orders import Order
@@ -78,3 +78,18 @@
         """Return the weights of a slice whose calls ended after a time in seconds, by server id."""
         sent = self._sent.get(slice_id, {})
         return {server: times for server, times in sent.items() if times.ended_at_s > time_s}
+
+
+def classify_unsettled(
+    queued: Collection[int], sent: Mapping[int, SentTimes], granted_at_s: float
+) -> UnsettledServers:
+    """Classify the servers of a slice by whether their weights replace those of its listed table.
+
+    Args:
+        queued: Servers whose weights are queued.
+        sent: Servers whose weights are in flight or were sent recently, with the times.
+        granted_at_s: Time at which the grant of the slice was received, in seconds.
+    """
+    sent_after_grant = {server for server, times in sent.items() if times.started_at_s > granted_at_s}
+    newer = sent_after_grant.union(queued)
+    return UnsettledServers(frozenset(newer), frozenset(sent.keys() - newer))
--- a/tests/test_platform_relay_outbox.py
+++ b/tests/test_platform_relay_outbox.py
@@ -21,6 +21,7 @@
 from puffintide.platform.http_exchange import RequestResult, Response
 from puffintide.platform.identifiers import HostRegistry
 from puffintide.platform.relay_answers import parse_answer
+from puffintide.platform.relay_calls import MAX_CALL_BYTES, CallOutcome
 from puffintide.platform.relay_orders import (
     Order,
     OrderedWeight,
@@ -29,7 +30,7 @@
     OrderType,
     SendPriority,
 )
-from puffintide.platform.relay_outbox import MAX_CALL_BYTES, Outbox
+from puffintide.platform.relay_outbox import Outbox
 from tests.platform_config import NAMES
 
 
@@ -253,6 +254,56 @@
     assert outbox.ready_in_s(10.5) == 0.0
 
 
+DRAIN_GRACE_S = 3.6  # As in the example of the platform's settings.
+CHANNEL_DELAY_MAX_S = 1.1
+
+
+@pytest.mark.parametrize("max_messages", [10, 20])
+@pytest.mark.parametrize("fault_s", [0.5 * k for k in range(1, 31)])
+def test_retries_of_calls_that_may_have_been_applied_leave_room_for_later_orders(
+    max_messages: int, fault_s: float
+) -> None:
+    """Guards against drains that wait for the message window: a call without weights cannot be resolved."""
+    outbox = Outbox(max_messages, message_window_s=10.0)
+    outbox.put([withdrawal_order(1)])
+    now_s, calls_at_s = 0.0, list[float]()
+    while now_s < fault_s:
+        calls_at_s.append(now_s)
+        outbox.next_call(now_s)
+        step = outbox.on_response(now_s, Response(RequestResult.DISCONNECTED))
+        assert not step.snapshot
+        now_s += step.delay_s
+        now_s += outbox.ready_in_s(now_s) or 0.0
+    assert now_s - fault_s <= DRAIN_GRACE_S - CHANNEL_DELAY_MAX_S
+    for start_s in calls_at_s:
+        assert sum(start_s <= call_s < start_s + 10.0 for call_s in calls_at_s) <= max_messages
+
+
+@pytest.mark.parametrize(
+    ("table", "complete", "outcome"),
+    [
+        ({"s-2": 1.0}, False, CallOutcome.APPLIED),
+        ({"s-1": 1.0}, False, CallOutcome.NOT_APPLIED),  # The entry that it removes is there.
+        ({"s-1": 1.0, "s-2": 1.0}, False, CallOutcome.NOT_APPLIED),
+        ({"s-2": 0.5}, False, CallOutcome.NOT_APPLIED),
+        ({}, False, CallOutcome.UNKNOWN),  # The entry that it adds may follow.
+        ({}, True, CallOutcome.NOT_APPLIED),
+        (None, True, CallOutcome.UNKNOWN),  # The slice belongs to another assigner by now.
+    ],
+)
+def test_call_counts_towards_the_message_limit_unless_a_table_proves_that_it_was_not_applied(
+    table: dict[str, float] | None, complete: bool, outcome: CallOutcome
+) -> None:
+    outbox = Outbox(max_messages_per_window=1, message_window_s=10.0)
+    outbox.put([added_weight(0, 2), removed_weight(0, 1)])
+    call = outbox.next_call(0.0)
+    tables = {7: {"s-9": 1.0}} if table is None else {0: table}
+    assert call.outcome(tables, complete) is outcome
+    assert outbox.resolve(0.0, tables, complete) is (outcome is CallOutcome.APPLIED)
+    outbox.put([withdrawal_order(1)])
+    assert outbox.ready_in_s(1.0) == (0.0 if outcome is CallOutcome.NOT_APPLIED else 9.0)
+
+
 def test_batch_over_the_size_limit_is_sent_in_parts_that_are_safe_by_themselves() -> None:
     outbox = Outbox()
     outbox.put(
--- a/tests/test_platform_relay_session.py
+++ b/tests/test_platform_relay_session.py
@@ -78,6 +78,24 @@
     assert len(platform.relay.calls) > 2
 
 
+@pytest.mark.parametrize("result", ["reset", "lost"])
+@pytest.mark.parametrize("fault_s", [2.0, 6.0])
+def test_drains_are_ordered_in_time_although_the_relay_broke_calls(
+    platform: Platform, result: str, fault_s: float
+) -> None:
+    """Guards against drains that wait for the message window, used up by retries of calls that had no effect."""
+    platform.relay.call_results = [result] * 1000
+    platform.discovery.change(entry(1, "leaving"))
+    platform.advance(fault_s)
+    platform.relay.call_results = []
+    platform.advance(0.5)
+    platform.discovery.change(entry(2, "leaving"))
+    settings = platform.assigner.config.settings
+    platform.advance(settings.drain_grace_s - settings.channel_delay_max_s)
+    assert not {"s-1", "s-2"} & platform.relay.routable_hosts()
+    assert platform.director_tables() == platform.relay.tables
+
+
 def test_reconnection_of_unchanged_watches_causes_no_events(platform: Platform) -> None:
     before = platform.director_tables()
     rounds, events = platform.assigner.rounds.counters.rounds, platform.record_events()
