Platform: entries that a call may have set after an unread grant are sent as listed

Cause: a process that was late by 2.96 s made a call before it read that the slice had been revoked and granted again. The relay applied the call to the new ownership; the granted table, written before, was taken as it was. Change: weights of an earlier ownership are remembered apart (SentWeights). At the heartbeat that completes a granted table, entries for which such a call ended up to 2 s before the grant, or is in flight, are sent with the weights of the table. Why it works: only these entries are uncertain, and a call that begins after the grant was read reaches the new ownership. Tests: test_call_applied_after_an_unread_grant_leaves_no_unknown_entry failed before the change and passes now.

--- a/puffintide/platform/relay_outbox.py
+++ b/puffintide/platform/relay_outbox.py
@@ -73,7 +73,7 @@
 
     def revoke_slice(self, slice_id: int) -> None:
         """Drop the queued weights of a revoked slice, and exclude those in flight from retries."""
-        self.sent_weights.forget_slice(slice_id)
+        self.sent_weights.revoke_slice(slice_id)
         if self._call is not None:
             self._call.revoked_slices.add(slice_id)
         self._queue = {
@@ -90,7 +90,7 @@
             granted_at_s: Time at which the grant of the slice was received, in seconds.
         """
         queued = servers_with_weights(slice_id, self._queue.values())
-        sent = self.sent_weights.sent_since(slice_id, granted_at_s - SETTLING_S)
+        sent = self.sent_weights.owned_since(slice_id, granted_at_s - SETTLING_S)
         call = self._call
         if call is not None:
             in_flight = SentTimes(call.started_at_s, ended_at_s=math.inf)
@@ -98,6 +98,18 @@
             sent |= dict.fromkeys(servers_with_weights(slice_id, resendable), in_flight)
         return classify_unsettled(queued, sent, granted_at_s)
 
+    def former_servers(self, slice_id: int, granted_at_s: float) -> set[int]:
+        """Return the servers whose weights of an earlier ownership may be newer than a granted table.
+
+        The relay may have applied a call after it wrote the grant, if the call began before the grant and the
+        revocation before it were received.
+        """
+        former = set(self.sent_weights.former_since(slice_id, granted_at_s - SETTLING_S))
+        call = self._call
+        if call is not None and slice_id in call.revoked_slices:
+            former |= servers_with_weights(slice_id, call.orders)
+        return former
+
     def ready_in_s(self, now_s: float) -> float | None:
         """Return the seconds until the next call may be made.
 
@@ -251,7 +263,8 @@
     def _count_call(self, now_s: float, call: Call, orders: list[Order]) -> None:
         """Count a call that was or may have been applied, with the orders that the relay accepted."""
         self._window.record(now_s)
-        self.sent_weights.record(orders, SentTimes(call.started_at_s, ended_at_s=now_s))
+        times = SentTimes(call.started_at_s, ended_at_s=now_s)
+        self.sent_weights.record(orders, call.revoked_slices, times)
 
     @property
     def has_weights_in_flight(self) -> bool:
--- a/puffintide/platform/relay_sent_weights.py
+++ b/puffintide/platform/relay_sent_weights.py
@@ -44,40 +44,58 @@
     uncertain: frozenset[int]
 
 
+SentBySlice = dict[int, dict[int, SentTimes]]  # Maps slice id to server id to the times of the last call.
+
+
 class SentWeights:
-    """The times at which weights were last sent, by slice id and server id."""
+    """The times at which weights were last sent, apart for the current and for earlier ownership of a slice."""
 
     def __init__(self) -> None:
-        self._sent: dict[int, dict[int, SentTimes]] = {}
+        self._owned: SentBySlice = {}
+        self._former: SentBySlice = {}
 
     def __len__(self) -> int:
-        return sum(map(len, self._sent.values()))
+        return sum(len(sent) for sent in (*self._owned.values(), *self._former.values()))
+
+    def record(self, orders: Iterable[Order], revoked_slices: Collection[int], times: SentTimes) -> None:
+        """Record the weights of a call that was or may have been applied.
 
-    def record(self, orders: Iterable[Order], times: SentTimes) -> None:
-        """Record the weights of a call that was or may have been applied."""
+        Args:
+            orders: The orders of the call.
+            revoked_slices: Slices that were revoked since the call began.
+            times: The times of the call.
+        """
         for order in orders:
             if order.is_weight:
-                self._sent.setdefault(order.key.slice_id, {})[order.key.item_id] = times
+                slice_id = order.key.slice_id
+                sent_by_slice = self._former if slice_id in revoked_slices else self._owned
+                sent_by_slice.setdefault(slice_id, {})[order.key.item_id] = times
 
-    def forget_slice(self, slice_id: int) -> None:
-        """Forget the weights of a slice whose table is replaced."""
-        self._sent.pop(slice_id, None)
+    def revoke_slice(self, slice_id: int) -> None:
+        """Treat the weights of a slice as sent during an earlier ownership."""
+        self._former.setdefault(slice_id, {}).update(self._owned.pop(slice_id, {}))
 
     def forget_old(self, now_s: float) -> None:
         """Forget weights that were sent more than RETENTION_S ago."""
-        for slice_id, sent in list(self._sent.items()):
-            recent = {
-                server: times for server, times in sent.items() if times.ended_at_s > now_s - RETENTION_S
-            }
-            if recent:
-                self._sent[slice_id] = recent
-            else:
-                del self._sent[slice_id]
-
-    def sent_since(self, slice_id: int, time_s: float) -> dict[int, SentTimes]:
-        """Return the weights of a slice whose calls ended after a time in seconds, by server id."""
-        sent = self._sent.get(slice_id, {})
-        return {server: times for server, times in sent.items() if times.ended_at_s > time_s}
+        self._owned = _sent_since(self._owned, now_s - RETENTION_S)
+        self._former = _sent_since(self._former, now_s - RETENTION_S)
+
+    def owned_since(self, slice_id: int, time_s: float) -> dict[int, SentTimes]:
+        """Return the weights of the current ownership whose calls ended after a time, by server id."""
+        return _ended_since(self._owned.get(slice_id, {}), time_s)
+
+    def former_since(self, slice_id: int, time_s: float) -> dict[int, SentTimes]:
+        """Return the weights of earlier ownership whose calls ended after a time, by server id."""
+        return _ended_since(self._former.get(slice_id, {}), time_s)
+
+
+def _ended_since(sent: Mapping[int, SentTimes], time_s: float) -> dict[int, SentTimes]:
+    return {server: times for server, times in sent.items() if times.ended_at_s > time_s}
+
+
+def _sent_since(sent_by_slice: SentBySlice, time_s: float) -> SentBySlice:
+    recent = {slice_id: _ended_since(sent, time_s) for slice_id, sent in sent_by_slice.items()}
+    return {slice_id: sent for slice_id, sent in recent.items() if sent}
 
 
 def classify_unsettled(
--- a/puffintide/platform/relay_session.py
+++ b/puffintide/platform/relay_session.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from puffintide.assigner.runtime import Effects
 from puffintide.decisions.actions import Action, SetWeight
@@ -114,6 +114,8 @@
             self._add_weights(now_s, slice_id, weights)
         for slice_id, table in sorted(changes.retained_tables.items()):
             self._compare_table(now_s, slice_id, table)
+        if changes.completed_slices:  # After the next round, so that the director has received the tables.
+            self.context.reactor.callLater(RESEND_DELAY_S, self._confirm_tables, changes.completed_slices)
 
     def _apply_checkpoint(self, now_s: float, checkpoint: CheckpointApplied) -> None:
         elapsed_s = max(0.0, checkpoint.elapsed_ms / MS_PER_S)
@@ -152,9 +154,7 @@
         """
         hosts = self.context.hosts
         stored = {hosts.register(host): weight for host, weight in table.items() if weight > 0}
-        director = self.context.runtime.director
-        view = director.slices.get(slice_id) if isinstance(director, Director) else None
-        expected = view.weights if view is not None else {}
+        expected = self._expected_table(slice_id)
         unsettled = self._unsettled_servers(slice_id)
         unsettled_ids = unsettled.newer | unsettled.uncertain
         if tables_differ(stored, expected, unsettled_ids):
@@ -163,15 +163,32 @@
             self._grant_ownership(now_s, slice_id, dict(sorted(merged.items())))
         differing = differing_servers(stored, expected, unsettled.uncertain)
         if differing:
-            self._resend_weights(
-                slice_id, {server_id: expected.get(server_id, 0.0) for server_id in differing}
-            )
+            self._queue_weights(slice_id, expected, differing)
+            self.context.reactor.callLater(RESEND_DELAY_S, self.client.send_next)
 
-    def _resend_weights(self, slice_id: int, weights: dict[int, float]) -> None:
-        self.log("weights_resent", slice=slice_id, weights=len(weights))
-        actions = [SetWeight(slice_id, server_id, weight) for server_id, weight in sorted(weights.items())]
+    def _expected_table(self, slice_id: int) -> dict[int, float]:
+        """Return the director's table of a slice, which is empty if the slice is not owned."""
+        director = self.context.runtime.director
+        view = director.slices.get(slice_id) if isinstance(director, Director) else None
+        return view.weights if view is not None else {}
+
+    def _confirm_tables(self, slice_ids: list[int]) -> None:
+        """Send entries of granted tables that a call of an earlier ownership may have replaced."""
+        for slice_id in slice_ids:
+            granted_at_s = self.watch.granted_at_s.get(slice_id, 0.0)
+            former = self.outbox.former_servers(slice_id, granted_at_s)
+            former -= self._unsettled_servers(slice_id).newer
+            if former:
+                self._queue_weights(slice_id, self._expected_table(slice_id), former)
+        self.client.send_next()
+
+    def _queue_weights(self, slice_id: int, table: Mapping[int, float], server_ids: Iterable[int]) -> None:
+        """Queue the entries of a table for some servers; a missing entry is removed."""
+        actions = [
+            SetWeight(slice_id, server_id, table.get(server_id, 0.0)) for server_id in sorted(server_ids)
+        ]
+        self.log("weights_resent", slice=slice_id, weights=len(actions))
         self._queue(actions)
-        self.context.reactor.callLater(RESEND_DELAY_S, self.client.send_next)
 
     # To the relay -----------------------------------------------------------------------------------
 
--- a/puffintide/platform/relay_state.py
+++ b/puffintide/platform/relay_state.py
@@ -36,6 +36,8 @@
     added_weights: Tables = field(default_factory=dict)  # Entries for tables granted in earlier changes.
     applied_checkpoints: list[CheckpointApplied] = field(default_factory=list)
     retained_tables: Tables = field(default_factory=dict)  # Tables of slices owned across a reconnection.
+    # Slices granted in earlier changes, whose tables have no more entries to follow.
+    completed_slices: list[int] = field(default_factory=list)
 
     def __bool__(self) -> bool:
         return any(
@@ -47,6 +49,7 @@
                 self.added_weights,
                 self.applied_checkpoints,
                 self.retained_tables,
+                self.completed_slices,
             )
         )
 
@@ -171,6 +174,8 @@
             retained = set()
         self._flush_tables(retained, changes)
         granted = changes.granted_tables.keys()
+        if at_heartbeat:
+            changes.completed_slices = sorted(self._open_tables - granted)
         # A heartbeat may arrive between the grant of a slice and its table entries.
         self._open_tables = set(granted) if at_heartbeat else self._open_tables | granted
         return changes
--- a/tests/test_platform_relay_outbox.py
+++ b/tests/test_platform_relay_outbox.py
@@ -356,6 +356,7 @@
     assert (2 in unsettled.newer, 2 in unsettled.uncertain) == (newer, uncertain)
     outbox.revoke_slice(0)
     assert not unsettled_servers(outbox, 0)
+    assert outbox.former_servers(0, granted_at_s=10.0) == ({2} if newer or uncertain else set())
 
 
 def test_queued_weights_of_a_revoked_slice_are_dropped() -> None:
--- a/tests/test_platform_relay_session.py
+++ b/tests/test_platform_relay_session.py
@@ -190,6 +190,30 @@
     assert platform.director_tables() == relay.tables
 
 
+def test_call_applied_after_an_unread_grant_leaves_no_unknown_entry(platform: Platform) -> None:
+    """Guards against entries that the assigner does not know: the granted table was older than the call."""
+    relay: Any = platform.relay
+    answer = relay.answer
+    ordered_hosts: list[str] = []
+
+    def grant_before_the_call(connection: Any, method: str, target: str, body: bytes) -> None:
+        if method == "POST" and not ordered_hosts:
+            rows = [row for row in json.loads(body)["orders"] if row.get("group") == 1]
+            ordered_hosts.extend(row["host"] for row in rows if row["share"] > 0)
+            relay.broadcast({"type": "given", "object": {"partition": 1, "yes": False}})
+            relay.tables[1] = {f"s-{k}": 1.0 for k in (0, 2, 3) if f"s-{k}" not in ordered_hosts}
+            relay.send_table(relay.watches()[0], 1)
+        answer(connection, method, target, body)
+
+    relay.answer = grant_before_the_call
+    platform.discovery.change(entry(1, "leaving"))
+    platform.advance(2.0)
+    assert platform.director_tables() == relay.tables
+    platform.discovery.change(entry(int(ordered_hosts[0][2:]), "leaving"))
+    platform.advance(1.0)
+    assert ordered_hosts[0] not in relay.routable_hosts()
+
+
 @pytest.mark.parametrize("granted_again", [False, True])
 def test_queued_orders_of_a_revoked_slice_are_never_sent(platform: Platform, granted_again: bool) -> None:
     platform.relay.call_results = ["throttled"] * 4
