--- a/puffintide/platform/relay_outbox.py
+++ b/puffintide/platform/relay_outbox.py
@@ -14,8 +14,9 @@
 
 from puffintide.platform.http_exchange import RequestResult, Response
 from puffintide.platform.relay_answers import INVALID, THROTTLED, CallAnswer, parse_answer
-from puffintide.platform.relay_calls import Call, CallOutcome, NextStep, StoredTables, orders_of_next_call
+from puffintide.platform.relay_calls import Call, CallOutcome, NextStep, StoredTables
 from puffintide.platform.relay_message_window import MessageWindow
+from puffintide.platform.relay_order_queue import OrderQueue
 from puffintide.platform.relay_orders import Order, OrderKey, servers_with_weights
 from puffintide.platform.relay_sent_weights import (
     SETTLING_S,
@@ -46,7 +47,7 @@
     uncertain_calls: int = 0
     dropped_orders: int = 0
     sent_weights: SentWeights = field(default_factory=SentWeights)
-    _queue: dict[OrderKey, Order] = field(default_factory=dict)
+    _queue: OrderQueue = field(default_factory=OrderQueue)
     _call: Call | None = None
     _window: MessageWindow = field(init=False)  # Counts calls that were or may have been applied.
     _invalid_answers: int = 0
@@ -67,20 +68,14 @@
 
     def put(self, orders: Iterable[Order]) -> None:
         """Queue orders, and replace queued orders that have the same key."""
-        for order in orders:
-            self._queue.pop(order.key, None)
-            self._queue[order.key] = order
+        self._queue.put(orders)
 
     def revoke_slice(self, slice_id: int) -> None:
         """Drop the queued weights of a revoked slice, and exclude those in flight from retries."""
         self.sent_weights.revoke_slice(slice_id)
         if self._call is not None:
             self._call.revoked_slices.add(slice_id)
-        self._queue = {
-            key: order
-            for key, order in self._queue.items()
-            if not (order.is_weight and key.slice_id == slice_id)
-        }
+        self._queue.drop_weights(slice_id)
 
     def unsettled_servers(self, slice_id: int, granted_at_s: float) -> UnsettledServers:
         """Return the servers whose weights in a slice its listed table may not show.
@@ -89,7 +84,7 @@
             slice_id: The slice.
             granted_at_s: Time at which the grant of the slice was received, in seconds.
         """
-        queued = servers_with_weights(slice_id, self._queue.values())
+        queued = self._queue.servers_with_weights(slice_id)
         sent = self.sent_weights.owned_since(slice_id, granted_at_s - SETTLING_S)
         call = self._call
         if call is not None:
@@ -125,10 +120,7 @@
 
         If the queue exceeds the size limit, orders are selected by priority and the rest stays queued.
         """
-        selected = orders_of_next_call(list(self._queue.values()))
-        for order in selected:
-            del self._queue[order.key]
-        self._call = Call(selected, now_s)
+        self._call = Call(self._queue.take_next(), now_s)
         return self._call
 
     def on_response(self, now_s: float, response: Response) -> NextStep:
@@ -169,8 +161,7 @@
         if snapshot:
             self._failed_snapshots = 0
         else:
-            self.retry(now_s, maybe_applied=reachable)
-            delay_s = max(delay_s, self._window.retry_delay_s(now_s))
+            delay_s = max(delay_s, self.retry(now_s, maybe_applied=reachable))
         fields = {
             "result": response.result,
             "status": response.status,
@@ -188,16 +179,22 @@
             complete: Whether the whole snapshot was received. Otherwise entries may be missing.
         """
         if tables is not None:
-            applied = self.resolve(now_s, tables, complete)
-            if applied:
-                self._backoff_s = INITIAL_BACKOFF_S
-            delay_s = 0.0 if applied else self._window.retry_delay_s(now_s)
-            return NextStep(delay_s, event="call_resolved", fields={"applied": applied})
+            return self._on_resolved(now_s, self._current_call().outcome(tables, complete))
         self._failed_snapshots += 1
         if self._failed_snapshots < MAX_SNAPSHOT_ATTEMPTS:
             return NextStep(self._next_backoff_s(), snapshot=True)
-        self.retry(now_s, maybe_applied=True)
-        return NextStep(max(self._next_backoff_s(), self._window.retry_delay_s(now_s)))
+        return NextStep(max(self._next_backoff_s(), self.retry(now_s, maybe_applied=True)))
+
+    def _on_resolved(self, now_s: float, outcome: CallOutcome) -> NextStep:
+        """End the call in flight by what a snapshot shows, and requeue its orders if it was not applied."""
+        applied = outcome is CallOutcome.APPLIED
+        delay_s = 0.0
+        if applied:
+            self._backoff_s = INITIAL_BACKOFF_S
+            self.accept(now_s, len(self._current_call().orders))
+        else:
+            delay_s = self.retry(now_s, maybe_applied=outcome is CallOutcome.UNKNOWN)
+        return NextStep(delay_s, event="call_resolved", fields={"applied": applied})
 
     def _next_backoff_s(self) -> float:
         delay_s = self._backoff_s
@@ -215,10 +212,7 @@
 
     def _requeue(self, call: Call, orders: list[Order]) -> None:
         """Requeue orders of a call ahead of all others, except those replaced by newer orders."""
-        requeued = {
-            order.key: order for order in orders if call.may_resend(order) and order.key not in self._queue
-        }
-        self._queue = requeued | self._queue
+        self._queue.put_back(order for order in orders if call.may_resend(order))
 
     def accept(self, now_s: float, accepted: int) -> Order | None:
         """End a call of which the relay accepted the first `accepted` orders.
@@ -248,17 +242,21 @@
         self._requeue(call, remaining)
         return rejected
 
-    def retry(self, now_s: float, maybe_applied: bool) -> None:
+    def retry(self, now_s: float, maybe_applied: bool) -> float:
         """End a call that is not known to be applied, and requeue its orders.
 
         Args:
             now_s: The current time, in seconds.
             maybe_applied: Whether the call may have been applied and counts towards the message limit.
+
+        Returns:
+            The minimum delay of the next call that keeps messages free for urgent orders, in seconds.
         """
         call = self._end_call()
         if maybe_applied:
             self._count_call(now_s, call, call.orders)
         self._requeue(call, call.orders)
+        return self._window.retry_delay_s(now_s) if maybe_applied else 0.0
 
     def _count_call(self, now_s: float, call: Call, orders: list[Order]) -> None:
         """Count a call that was or may have been applied, with the orders that the relay accepted."""
@@ -271,24 +269,6 @@
         """Whether the relay's tables can show if the call in flight was applied."""
         return self._call is not None and any(order.weight for order in self._call.orders)
 
-    def resolve(self, now_s: float, tables: StoredTables, complete: bool) -> bool:
-        """Determine from the relay's tables whether the call was applied.
-
-        Args:
-            now_s: The current time, in seconds.
-            tables: The tables of the owned slices that the snapshot contains.
-            complete: Whether the whole snapshot was received.
-
-        Returns:
-            Whether the call was applied. Otherwise its orders are requeued.
-        """
-        outcome = self._current_call().outcome(tables, complete)
-        if outcome is CallOutcome.APPLIED:
-            self.accept(now_s, len(self._current_call().orders))
-            return True
-        self.retry(now_s, maybe_applied=outcome is CallOutcome.UNKNOWN)
-        return False
-
     def reject(self) -> bool:
         """End a call that the relay answered with INVALID, and requeue or drop its orders.
 
--- a/tests/test_platform_relay_outbox.py
+++ b/tests/test_platform_relay_outbox.py
@@ -102,6 +102,11 @@
     return call.orders
 
 
+def resolve(outbox: Outbox, now_s: float, tables: dict[int, dict[str, float]], complete: bool) -> bool:
+    """Return whether the outbox takes the call in flight for applied, as these tables show."""
+    return outbox.on_snapshot(now_s, tables, complete).fields["applied"] is True
+
+
 def unsettled_servers(outbox: Outbox, slice_id: int) -> set[int]:
     unsettled = outbox.unsettled_servers(slice_id, granted_at_s=0.0)
     return set(unsettled.newer | unsettled.uncertain)
@@ -163,7 +168,7 @@
         outbox.put([withdrawal_order(9), added_weight(0, 2), removed_weight(0, 1)])
         outbox.next_call(0.0)
         assert outbox.has_weights_in_flight
-        assert outbox.resolve(0.0, tables, complete=False) is applied
+        assert resolve(outbox, 0.0, tables, complete=False) is applied
         assert len(outbox) == (0 if applied else 3)
     outbox = Outbox()
     outbox.put([withdrawal_order(1)])
@@ -176,7 +181,7 @@
     outbox = Outbox(max_messages_per_window=1, message_window_s=10.0)
     outbox.put([removed_weight(0, 1)])
     outbox.next_call(0.0)
-    assert outbox.resolve(0.0, {0: {}}, complete) is applied
+    assert resolve(outbox, 0.0, {0: {}}, complete) is applied
     assert len(outbox) == (0 if applied else 1)
     assert outbox.ready_in_s(1.0) in (None, 9.0)  # A call that may have been applied counts as a message.
 
@@ -188,7 +193,7 @@
         lambda outbox: outbox.requeue_throttled(),
         lambda outbox: outbox.reject(),
         lambda outbox: outbox.accept(0.0, 0),
-        lambda outbox: outbox.resolve(0.0, {5: {"s-9": 1.0}, 6: {}}, complete=True),
+        lambda outbox: resolve(outbox, 0.0, {5: {"s-9": 1.0}, 6: {}}, complete=True),
     ]
     for end_call in end_calls:
         outbox = Outbox()
@@ -299,7 +304,7 @@
     call = outbox.next_call(0.0)
     tables = {7: {"s-9": 1.0}} if table is None else {0: table}
     assert call.outcome(tables, complete) is outcome
-    assert outbox.resolve(0.0, tables, complete) is (outcome is CallOutcome.APPLIED)
+    assert resolve(outbox, 0.0, tables, complete) is (outcome is CallOutcome.APPLIED)
     outbox.put([withdrawal_order(1)])
     assert outbox.ready_in_s(1.0) == (0.0 if outcome is CallOutcome.NOT_APPLIED else 9.0)
 
