--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -68,6 +68,9 @@
 def pytest_terminal_summary(terminalreporter: Any) -> None:
     for report in terminalreporter.stats.get("xfailed", []):
         terminalreporter.write_line(f"KNOWN RED: {report.nodeid} | {report.wasxfail}")
+    for test_id, reason in read_known_red(terminalreporter.config).items():
+        if not test_id.split("::")[0].endswith(".py"):
+            terminalreporter.write_line(f"KNOWN RED, not run by pytest: {test_id} | {reason}")
 
 
 @pytest.fixture
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -58,3 +58,15 @@
         assert (pytester.runpytest_subprocess("-p", "no:cacheprovider", "-n", workers).ret == 0) is (
             result == 0
         )
+
+
+def test_entry_of_another_kind_of_test_is_printed(pytester: pytest.Pytester) -> None:
+    pytester.makepyfile(test_it="def test_green(): pass")
+    pytester.makeconftest(Path(__file__).with_name("conftest.py").read_text())
+    pytester.makefile(".sh", run="exit 1")
+    Path(pytester.path / "KNOWN-RED.txt").write_text("run.sh::case | sh run.sh | what was seen | #1\n")
+    ran = pytester.runpytest_subprocess("-p", "no:cacheprovider")
+    assert ran.ret == 0
+    ran.stdout.fnmatch_lines(
+        ["*KNOWN RED, not run by pytest: run.sh::case | sh run.sh | what was seen | #1*"]
+    )
