--- a/tests/platform_faults.py
+++ b/tests/platform_faults.py
@@ -24,6 +24,7 @@
 DRAIN_LIMIT_AFTER_BROKEN_WATCH_S = 7.0
 SETTLE_S = 8.0  # Until the message window has passed.
 FINAL_DRAIN_S = 4.0
+CALL_S = 0.01  # Longer than a call and its answer take on the virtual clock.
 MIN_ACTIVE_SERVERS = 2
 CALL_FAULTS = ["lost", "reset", "applied, unanswered", "applied, reset", "applied, malformed", "throttled"]
 WINDOW_S = 10.0
@@ -254,8 +255,9 @@
         return [f"{host} drains and is in a table" for host in sorted(draining)]
 
     def _problems(self) -> list[str]:
-        """Return what is wrong with the state that the relay and the assigner have now."""
+        """Return what is wrong with the state that the relay and the assigner have, once calls have ended."""
         relay, assigner = self.platform.relay, self.platform.assigner
+        self.platform.advance(CALL_S)  # An ordinary call may have begun at this time.
         believed = self.platform.director_tables()
         problems = [
             f"slice {slice_id}: the relay has {table}, the assigner believes {believed.get(slice_id)}"
--- a/tests/test_platform_relay_outbox.py
+++ b/tests/test_platform_relay_outbox.py
@@ -30,7 +30,7 @@
     OrderType,
     SendPriority,
 )
-from puffintide.platform.relay_outbox import Outbox
+from puffintide.platform.relay_outbox import INITIAL_BACKOFF_S, MAX_BACKOFF_S, Outbox
 from tests.platform_config import NAMES
 
 
@@ -309,6 +309,21 @@
     assert outbox.ready_in_s(1.0) == (0.0 if outcome is CallOutcome.NOT_APPLIED else 9.0)
 
 
+def test_retry_delay_grows_until_a_call_is_applied() -> None:
+    """Guards against rapid retries: a snapshot that showed a call not to be applied reset the delay."""
+    outbox = Outbox()
+    outbox.put([added_weight(0, 2), removed_weight(0, 1)])
+    delays_s = list[float]()
+    for table in [{"s-1": 1.0}] * 7 + [{"s-2": 1.0}]:
+        outbox.next_call(0.0)
+        delays_s.append(outbox.on_response(0.0, Response(RequestResult.DISCONNECTED)).delay_s)
+        outbox.on_snapshot(0.0, {0: table}, complete=False)
+    assert delays_s == [min(INITIAL_BACKOFF_S * 2**k, MAX_BACKOFF_S) for k in range(8)]
+    outbox.put([added_weight(0, 3)])
+    outbox.next_call(0.0)
+    assert outbox.on_response(0.0, Response(RequestResult.DISCONNECTED)).delay_s == INITIAL_BACKOFF_S
+
+
 def test_batch_over_the_size_limit_is_sent_in_parts_that_are_safe_by_themselves() -> None:
     outbox = Outbox()
     outbox.put(
--- a/tests/test_platform_relay_session.py
+++ b/tests/test_platform_relay_session.py
@@ -184,6 +184,7 @@
     platform.advance(0.05)
     relay.broadcast({"type": "held", "object": {"partition": 1, "host": "s-1", "share": 1.0}})
     platform.advance(0.05)
+    assert platform.director_tables()[1] == relay.tables[1]
     platform.discovery.change(entry(1, "leaving"))
     platform.advance(3.0)
     assert "s-1" not in relay.routable_hosts()
