--- a/review/10/case.py
+++ b/review/10/case.py
@@ -12,6 +12,7 @@
 SPOILT_WINDOW_MS = sys.float_info.min  # The field `window`, out of range: a usual one is 500 to 2,000 ms.
 CALM_S = 10.0
 TO_DRAIN_S = 5.0
+ENDS_AFTER_S = 2.9  # LATER: "listed as draining, dead 0.36 to 2.9 s later".
 WATCHED_S = 12.0
 
 
@@ -21,7 +22,7 @@
     if trouble():
         platform.send_report(msg="heat", partition=3, kind="status", n=5, bad=0, window=SPOILT_WINDOW_MS)
     await asyncio.sleep(TO_DRAIN_S)
-    platform.list_change(*list(platform.tasks.values())[1:3], health="leaving")
+    await platform.drain(*list(platform.tasks.values())[1:3], ends_after_s=ENDS_AFTER_S)
     await asyncio.sleep(WATCHED_S)
 
 
--- a/review/standin2/stand.py
+++ b/review/standin2/stand.py
@@ -188,6 +188,7 @@
         self.orders = {"SET": 0, "OUT": 0, "IN": 0, "LIMIT": 0, "SYNC": 0, "DEL": 0}
         self.sent = 0
         self.refused = 0
+        self.lost = 0  # Requests sent to a task that has ended.
         self.bad_sends: dict[tuple[int, str], tuple[float, float, int]] = {}
         self.late_sends = 0
         self.worst_unserved: tuple[float, int, int] = (0.0, -1, -1)
@@ -249,6 +250,13 @@
         for writer in list(task.connections):
             writer.transport.abort()
 
+    async def drain(self, *tasks: Task, ends_after_s: float) -> None:
+        """List tasks as draining; each ends after the given time."""
+        self.list_change(*tasks, health="leaving")
+        loop = asyncio.get_running_loop()
+        for task in tasks:
+            loop.call_later(ends_after_s, self.stop_task, task)
+
     def list_change(self, *tasks: Task, **changes: Any) -> None:
         """Change tasks' entries, and let discovery write them as one change of its list."""
         for task in tasks:
@@ -292,7 +300,8 @@
                 size = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
                 rows = json.loads(await reader.readexactly(size))["orders"]
                 self._carry_out(rows, writer)
-                await reader.read(1)
+                with contextlib.suppress(OSError):
+                    await reader.read(1)
         writer.close()
 
     async def _serve_news(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -419,6 +428,7 @@
                 continue
             self.sent += 1
             host = self.random.choices([h for h, _ in lines], [w for _, w in lines])[0]
+            self.lost += self.tasks[host].server is None
             self._judge_drain(proxy, host, now)
 
     def _judge_drain(self, proxy: Proxy, host: str, now: float) -> None:
@@ -641,7 +651,8 @@
     def summary(self) -> None:
         seconds, proxy, slice_id = self.worst_unserved
         self.record(
-            f"sent {self.sent}, refused {self.refused}, sent too late {self.late_sends}; "
+            f"sent {self.sent}, refused {self.refused}, sent to an ended task {self.lost}, "
+            f"sent too late {self.late_sends}; "
             f"longest without a line {seconds:.1f} s (proxy {proxy}, slice {slice_id}); calls {self.calls}; "
             f"orders {self.orders}; most lines waiting {self.most_waiting} of "
             f"{self.settings['familyInfo']['mostWaiting']:.0f}; most messages to a proxy in "
