--- a/review/standin2/stand.py
+++ b/review/standin2/stand.py
@@ -661,12 +661,21 @@
         self.record_file.close()
 
 
+_given_ports: set[int] = set()
+
+
 def free_port() -> int:
-    """Return a free port below those that the system gives to outgoing connections."""
+    """Return a free port, each only once, below those that the system gives to outgoing connections.
+
+    Each process draws from a range of its own, so that cases that run at one time don't meet.
+    """
     while True:
-        port = secrets.choice(range(20000, 32000))
+        port = 20000 + os.getpid() % 60 * 200 + secrets.randbelow(200)
+        if port in _given_ports:
+            continue
         with contextlib.suppress(OSError), socket.socket() as sock:
             sock.bind(("127.0.0.1", port))
+            _given_ports.add(port)
             return port
 
 
