Review case 9: a restarted assigner does not wait for its former proxies' leases

Cause: a new process starts without the proxies that its predecessor had; its first migration waits only for those that have connected again, while others still write under their lease.

Change: the case as a script; one assigner of two is killed and started again.

--- a/review/standin2/writers.py
+++ b/review/standin2/writers.py
@@ -36,14 +36,24 @@
 from puffintide.protocol.stream import PeerIdentity, Stream, StreamServerFactory  # noqa: E402
 
 reactor = monotonic_reactor()
+LONGEST_WORK_S = 1.5  # Five times the mean work of a write.
+
+
+_given_ports: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a free port below those that the system gives to outgoing connections."""
+    """Return a free port, each only once, below those that the system gives to outgoing connections.
+
+    Each process draws from a range of its own, so that cases that run at one time don't meet.
+    """
     while True:
-        port = secrets.choice(range(20000, 32000))
+        port = 20000 + os.getpid() % 60 * 200 + secrets.randbelow(200)
+        if port in _given_ports:
+            continue
         with contextlib.suppress(OSError), socket.socket() as sock:
             sock.bind(("127.0.0.1", port))
+            _given_ports.add(port)
             return port
 
 
@@ -217,6 +227,7 @@
         self.random = random.Random(seed)
         self.partitioned = False
         self.try_s = 4.0  # After this time a client gives up, in seconds.
+        self.draws_work = False  # Whether the work of a write is drawn, with work_s as its mean.
         self.servers_cut = True  # Whether a cut also separates servers from the other zone's processes.
         self.draining: set[int] = set()
         self.owners: dict[int, list[int]] = {}  # Slice to the servers that took its writes, in order.
@@ -311,7 +322,10 @@
             )
         self.last_writer[slice_id] = (server.server_id, self.now())
         held[job] = (server.server_id, self.now())
-        reactor.callLater(self.work_s * server.slowdown, self._end_write, server, stream, message, job)
+        work_s = self.work_s
+        if self.draws_work:
+            work_s = min(self.random.expovariate(1 / work_s), LONGEST_WORK_S)
+        reactor.callLater(work_s * server.slowdown, self._end_write, server, stream, message, job)
 
     def _end_write(self, server: Server, stream: Stream, message: m.AttemptRequest, job: int) -> None:
         del self.in_hand[message.slice_id][job]
@@ -322,6 +336,11 @@
     def spawn(self, name: str, section: str) -> None:
         path = Path(self.work.name) / f"{name}.ini"
         path.write_text(self.ini + section)
+        self.respawn(name)
+
+    def respawn(self, name: str) -> None:
+        """Start a process with the file that it had."""
+        path = Path(self.work.name) / f"{name}.ini"
         kind = name.split("-")[0]
         command = [str(ROOT / ".venv/bin/python"), "-m", "puffintide", kind, "--config", str(path)]
         with (Path(self.work.name) / f"{name}.log").open("ab") as log:
@@ -395,6 +414,8 @@
         self.record(f"requests {self.sent}, answers by status {self.answers}, writes taken {self.writes}")
         if ended or not answered:
             self.record(f"the case could not run: ended {ended}, answered {answered}")
+            for name in ended:
+                self.record((Path(self.work.name) / f"{name}.log").read_text()[-600:])
             self.exit_status = 2
         elif self.overlaps:
             self.record(f"no effect twice: broken by {len(self.overlaps)} writes")
