Reports whose interval is next to 0 no longer end an assigner's decisions

Cause: AverageRate.add divided the count by the reported interval and weighted the sample with at least 0.1 s. The infinite rate stayed in the average, and math.ceil of it raised in every later round. Any interval above 0 was valid.

Change: rate and weight use the same interval. Reports under 1 ms are rejected singly with the reason, on the platform and on the own protocol; the decision modules ignore intervals and latencies that are infinite or no number.

--- a/puffintide/decisions/averages.py
+++ b/puffintide/decisions/averages.py
@@ -54,7 +54,12 @@
     updated_at_s: float = -math.inf
 
     def add(self, now_s: float, count: float, interval_s: float) -> None:
-        """Add the number of events in an interval that ends now."""
+        """Add the number of events in an interval that ends now.
+
+        A shorter interval than AVERAGE_MIN_INTERVAL_S counts as that long, both in the rate and in its weight
+        in the average. A rate is thus finite for every finite count.
+        """
         previous = self.per_second if self.updated_at_s > 0 else None
+        interval_s = max(interval_s, parameters.AVERAGE_MIN_INTERVAL_S)
         self.per_second = exponential_average(previous, count / interval_s, interval_s)
         self.updated_at_s = now_s
--- a/puffintide/decisions/observations.py
+++ b/puffintide/decisions/observations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
 from puffintide.decisions import parameters
@@ -172,7 +173,7 @@
 def apply_slice_load(fleet: FleetState, event: SliceLoadReport) -> None:
     """Apply a report of the requests of one class for a slice."""
     slice_state = fleet.slices.get(event.slice_id)
-    if slice_state is not None and event.interval_s > 0:
+    if slice_state is not None and _is_positive_and_finite(event.interval_s):
         fleet.last_report_s = fleet.now_s
         rate = slice_state.request_rates[event.class_index]
         rate.add(fleet.now_s, event.requests, event.interval_s)
@@ -181,7 +182,9 @@
 def apply_server_load(fleet: FleetState, event: ServerLoadReport) -> None:
     """Apply what proxies observed at a server, and the load values that it reported."""
     server = fleet.servers.get(event.server_id)
-    if server is None or event.interval_s <= 0 or event.failed_attempts > event.attempts:
+    if server is None or event.failed_attempts > event.attempts:
+        return
+    if not (_is_positive_and_finite(event.interval_s) and math.isfinite(event.mean_latency_s)):
         return
     fleet.last_report_s = fleet.now_s
     successes = event.attempts - event.failed_attempts
@@ -200,6 +203,10 @@
     apply_load_values(fleet, server, event.load_values)
 
 
+def _is_positive_and_finite(value: float) -> bool:
+    return 0 < value < math.inf
+
+
 def apply_load_values(fleet: FleetState, server: ServerState, load_values: tuple[float, ...]) -> None:
     """Apply the load values of a server, in the order of the settings; ignore invalid ones."""
     interval_s = fleet.settings.report_period_s
@@ -209,5 +216,5 @@
         elif name == "rif" and 0 <= value < MAX_REPORTED_IN_FLIGHT:
             server.last_in_flight = value
             server.in_flight = exponential_average(server.in_flight, value, interval_s)
-        elif name == "lat_ms" and 0 < value < float("inf"):
+        elif name == "lat_ms" and _is_positive_and_finite(value):
             server.service_time_s = exponential_average(server.service_time_s, value / 1000, interval_s)
--- a/puffintide/platform/client_messages.py
+++ b/puffintide/platform/client_messages.py
@@ -14,7 +14,7 @@
 from puffintide.platform.errors import InvalidMessageError
 from puffintide.platform.identifiers import HostRegistry, SettingsNames
 from puffintide.platform.message_decoding import MS_PER_S, decode_json, quoted
-from puffintide.protocol.validation import MAX_COUNT, MAX_INTERVAL_S
+from puffintide.protocol.validation import MAX_COUNT, MAX_INTERVAL_S, MIN_INTERVAL_S
 
 PONG = b'{"msg":"pong"}\n'
 REJECTED = b'{"msg":"refused"}\n'
@@ -96,11 +96,11 @@
         raise InvalidMessageError(
             f"invalid load report of {reported}: counts {failed} of {total} are not within 0 to {MAX_COUNT}"
         )
-    if not 0 < interval_ms <= MAX_INTERVAL_S * MS_PER_S:
-        limit_ms = MAX_INTERVAL_S * MS_PER_S
+    min_ms, max_ms = MIN_INTERVAL_S * MS_PER_S, MAX_INTERVAL_S * MS_PER_S
+    if not min_ms <= interval_ms <= max_ms:
         raise InvalidMessageError(
             f"invalid load report of {reported}: "
-            f"interval of {interval_ms:g} ms is not above 0 and at most {limit_ms:g} ms"
+            f"interval of {interval_ms:g} ms is not within {min_ms:g} to {max_ms:g} ms"
         )
 
 
--- a/puffintide/protocol/validation.py
+++ b/puffintide/protocol/validation.py
@@ -13,6 +13,7 @@
 
 MAX_WEIGHT = 1e6
 MAX_COUNT = 1e9  # Maximum of any counter in a usage report.
+MIN_INTERVAL_S = 1e-3  # Minimum interval that a usage report may cover, in seconds.
 MAX_INTERVAL_S = 1e5  # Maximum interval that a usage report may cover, in seconds.
 MAX_RETRY_MODE = 3
 MAX_PORT = 65535
@@ -97,8 +98,8 @@
 
 def usage_report_problem(report: UsageReport, slice_count: int, class_count: int) -> str | None:
     """Check a usage report from a proxy and return the first problem."""
-    if not 0 < report.interval_s <= MAX_INTERVAL_S:
-        return f"interval {report.interval_s:g} s is not above 0 and at most {MAX_INTERVAL_S:g}"
+    if not MIN_INTERVAL_S <= report.interval_s <= MAX_INTERVAL_S:
+        return f"interval {report.interval_s:g} s is not from {MIN_INTERVAL_S:g} to {MAX_INTERVAL_S:g}"
     for server in report.servers:
         counts_valid = 0 <= server.failed_attempts <= server.attempts <= MAX_COUNT
         latency_s = server.success_latency_total_s
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -34,6 +34,7 @@
     "more failures than attempts": m.UsageReport(0.5, [m.ServerUsage(0, 3, 9, 0.0)]),
     "too large": m.UsageReport(0.5, [m.ServerUsage(0, 10**30, 0, 1.0)]),
     "interval": m.UsageReport(0.0, [m.ServerUsage(0, 3, 0, 1.0)]),
+    "interval next to 0": m.UsageReport(2.3e-308, [], [m.SliceUsage(0, 0, 3, 0)]),
 }
 INVALID_UPDATES = {
     "retry": m.ProxyUpdate(9, 0.0, 13.0, admission_levels=[m.AdmissionLevel(0xFFFF, 0, 1.0, 9)]),
