Readmissions that a proxy missed while it was disconnected are sent again

Cause: a proxy keeps its withdrawals over a break of its stream, and messages on their way are lost. At a connection only the withdrawals in force were repeated; a readmission that the proxy had missed was never sent again.

Change: WithdrawalHolders knows which proxies may hold the withdrawal of each server, until they acknowledge its readmission or restart. Ready servers that a connected proxy may hold as withdrawn are readmitted again, with the next message and within the budget of withdrawals; also if no acknowledgement comes before messages count as lost.

--- a/puffintide/decisions/channel.py
+++ b/puffintide/decisions/channel.py
@@ -55,11 +55,16 @@
         if message is not None:
             message.pending_proxies.discard(event.proxy_id)
 
+    def lost_after_s(self) -> float:
+        """Return the time in seconds after which a message that is not acknowledged counts as lost."""
+        settings = self._fleet.settings
+        lowest_speed = parameters.LOST_MESSAGE_SPEED_FRACTION * settings.channel_entries_per_s
+        return settings.channel_capacity_entries / lowest_speed
+
     def expire_messages(self) -> None:
         """Drop acknowledged and lost messages, and recount outstanding entries of connected proxies."""
         now_s, settings = self._fleet.now_s, self._fleet.settings
-        lowest_speed = parameters.LOST_MESSAGE_SPEED_FRACTION * settings.channel_entries_per_s
-        lost_after_s = settings.channel_capacity_entries / lowest_speed
+        lost_after_s = self.lost_after_s()
         self._unacknowledged_messages = {
             checkpoint_id: message
             for checkpoint_id, message in self._unacknowledged_messages.items()
--- a/puffintide/decisions/director.py
+++ b/puffintide/decisions/director.py
@@ -124,6 +124,7 @@
                 apply_health_check(self.fleet, event)
             case CheckpointAcknowledged():
                 self._channel.on_acknowledged(event)
+                self.fleet.withdrawal_holders.on_acknowledged(event.proxy_id, event.checkpoint_id)
             case PeerObservation():
                 observations.apply_peer_observation(self.fleet, event)
                 self.estimator.adopt_peer_capacity(event.capacity_per_s)
--- a/puffintide/decisions/observations.py
+++ b/puffintide/decisions/observations.py
@@ -43,6 +43,7 @@
             fleet.proxies.add(event.proxy_id)
             fleet.admission_update_pending = True
             fleet.withdrawals_resend_pending = True
+            fleet.withdrawal_holders.on_connected(event.proxy_id, event.first_connection)
         case ProxyDisconnected():
             fleet.proxies.discard(event.proxy_id)
         case AssignerCountChanged():
@@ -102,6 +103,7 @@
     }
     for server_id in expired_ids.difference(*(slice_state.weights for slice_state in fleet.slices.values())):
         del fleet.servers[server_id]
+        fleet.withdrawal_holders.on_server_forgotten(server_id)
 
 
 def apply_ownership(fleet: FleetState, event: OwnershipChanged) -> None:
--- a/puffintide/decisions/publication.py
+++ b/puffintide/decisions/publication.py
@@ -46,7 +46,9 @@
         if fleet.admission_update_pending and (sends_ordinary or actions):
             self._add_admission_updates(actions, budget)
         if actions:
-            actions.append(self._channel.record_message(len(actions)))
+            checkpoint = self._channel.record_message(len(actions))
+            self.withdrawals.record_sent(actions, checkpoint)
+            actions.append(checkpoint)
             self._schedule_ordinary(sends_ordinary)
         return actions
 
--- a/puffintide/decisions/state.py
+++ b/puffintide/decisions/state.py
@@ -14,6 +14,7 @@
 from puffintide.decisions.averages import AverageRate
 from puffintide.decisions.events import Endpoint, EndpointStatus
 from puffintide.decisions.settings import Settings
+from puffintide.decisions.withdrawal_holders import WithdrawalHolders
 
 
 def _new_rates() -> defaultdict[int, AverageRate]:
@@ -101,6 +102,7 @@
         default_factory=lambda: deque(maxlen=parameters.MAX_RECORDED_HEALTH_CHECKS)
     )
     withdrawn_servers: set[int] = field(default_factory=set)  # Written by withdrawals: out of all tables.
+    withdrawal_holders: WithdrawalHolders = field(default_factory=WithdrawalHolders)
     # Written by admission, keyed by request class.
     admission_fractions: dict[int, float] = field(default_factory=dict)
     urgent_change_pending: bool = False  # A change must not wait for the next ordinary batch.
--- a/puffintide/decisions/withdrawals.py
+++ b/puffintide/decisions/withdrawals.py
@@ -5,10 +5,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 from puffintide.decisions import parameters
-from puffintide.decisions.actions import SetWithdrawn
+from puffintide.decisions.actions import Action, SendCheckpoint, SetWithdrawn
 from puffintide.decisions.channel import Channel, ChannelBudget
 from puffintide.decisions.projection import Plan
 from puffintide.decisions.state import FleetState
@@ -26,7 +26,7 @@
     def withdraw_servers(
         self, plan: Plan, urgent_slice_ids: Collection[int], budget: ChannelBudget
     ) -> list[SetWithdrawn]:
-        """Withdraw unavailable servers, readmit others, and resend withdrawals to newly connected proxies.
+        """Withdraw unavailable servers, readmit others, and resend what reconnected proxies have missed.
 
         This sets fleet.urgent_change_pending to whether some unavailable servers could not be withdrawn now.
 
@@ -42,9 +42,11 @@
         resent_ids = (
             sorted(fleet.withdrawn_servers & table_server_ids) if fleet.withdrawals_resend_pending else []
         )
+        missed_ids = self._missed_readmissions()
         pending_ids = unavailable_ids + readmitted_ids + resent_ids
         limit = self._entry_limit(len(unavailable_ids), budget)
         sent_ids = pending_ids[:limit]
+        missed_ids = missed_ids[: limit - len(sent_ids)]
         fleet.urgent_change_pending = len(sent_ids) < len(unavailable_ids)
         fleet.withdrawals_resend_pending = len(sent_ids) < len(pending_ids)
         fleet.withdrawn_servers = fleet.withdrawn_servers.union(unavailable_ids[:limit]).difference(
@@ -52,6 +54,30 @@
         )
         return [
             SetWithdrawn(server_id, server_id not in readmitted_ids) for server_id in dict.fromkeys(sent_ids)
+        ] + [SetWithdrawn(server_id, False) for server_id in missed_ids]
+
+    def record_sent(self, actions: Iterable[Action], checkpoint: SendCheckpoint) -> None:
+        """Record the withdrawals and readmissions of a message that ends with a checkpoint."""
+        fleet = self._fleet
+        holders = fleet.withdrawal_holders
+        for action in actions:
+            if not isinstance(action, SetWithdrawn):
+                continue
+            if action.withdrawn:
+                holders.on_withdrawn(action.server_id, fleet.proxies)
+            else:
+                holders.on_readmitted(action.server_id, fleet.proxies, checkpoint.checkpoint_id, fleet.now_s)
+
+    def _missed_readmissions(self) -> list[int]:
+        """Return ready servers that were readmitted while a proxy that is now connected could not be told."""
+        fleet = self._fleet
+        missed_ids = fleet.withdrawal_holders.missed_readmissions(
+            fleet.proxies, fleet.now_s, self._channel.lost_after_s()
+        )
+        return [
+            server_id
+            for server_id in sorted(missed_ids - fleet.withdrawn_servers)
+            if fleet.is_ready(server_id)
         ]
 
     def _servers_to_withdraw(
