HTTP: a client's requests are no longer read ahead without bound

Callers saw: one client that pipelined at full speed grew the proxy by 545 to 620 MB within 3 s, whether or not it read responses, and others' responses took up to 0.66 s. Operators saw 60 to 1,005 MB in 8 s.

Cause: requests are forwarded one at a time, but the connection was read at any speed and h11 buffered what followed the open request. What was buffered was then processed in one go; a client's next request cleared the timeout of its unread responses.

Change: a connection reads no further while the next request waits for the current one or for the client to read, and yields after 8 events. As a paused connection is not told of its end, closed clients are found by the state of their TCP connection. A head's timeout covers the whole head. A second SIGTERM aborts clients, since the reactor does not close paused connections.

--- a/puffintide/proxy/downstream.py
+++ b/puffintide/proxy/downstream.py
@@ -11,6 +11,7 @@
 from twisted.python.failure import Failure
 
 from puffintide.protocol.stream import close_gracefully
+from puffintide.protocol.tcp_state import is_closed_by_peer
 from puffintide.proxy.http_counters import HttpCounter
 from puffintide.proxy.http_exchange import HttpExchange
 from puffintide.proxy.http_messages import (
@@ -25,25 +26,38 @@
     has_body,
     parse_routing_headers,
 )
+from puffintide.proxy.http_request_parser import RequestParser
 from puffintide.proxy.reactor import DelayedCall, Transport, cancel_if_active
 
 if TYPE_CHECKING:
     from puffintide.proxy.http_proxy import HttpProxy
 
 
+MAX_EVENTS_PER_TURN = 8  # Events of one connection after which others get their turn.
+PEER_CHECK_PERIOD_S = 0.25  # Period of the check for closed clients whose data is not read.
+
+
 class DownstreamConnection(Protocol):
-    """A client's connection. It handles one request at a time and pipelined requests in order."""
+    """A client's connection. It handles one request at a time and pipelined requests in order.
+
+    It reads no further while the next request waits for the current one or for the client to read responses, so
+    that what a client sends in advance stays in the kernel's buffers.
+    """
 
     transport: Transport  # type: ignore[assignment]
 
     def __init__(self, proxy: HttpProxy) -> None:
         self.proxy = proxy
         self.limits = proxy.process
-        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.head_most)
+        self.parser = RequestParser(self.limits.head_most)
         self.exchange: HttpExchange | None = None
         self.closing = False
         self._timeout: DelayedCall | None = None
-        self._paused = False
+        self._next_turn: DelayedCall | None = None  # Continues processing after other connections' turns.
+        self._peer_check: DelayedCall | None = None  # Set while reading is paused.
+        self._body_paused = False  # Whether the body cannot be forwarded now.
+        self._writable = True  # Whether the client reads what is sent to it.
+        self._receiving_head = False
         self._processing = False
         self._is_head_request = False  # The response to a HEAD request has no body.
 
@@ -61,6 +75,7 @@
         """Release the connection's state and abandon its request."""
         self.closing = True
         self._set_timeout(None)
+        self._stop_processing()
         self.proxy.downstreams.discard(self)
         self._abandon_exchange()
 
@@ -69,6 +84,11 @@
         if self.exchange is None and not self.closing:
             self._close()
 
+    def abort(self) -> None:
+        """Close the connection immediately, without a response to an open request."""
+        self.closing = True
+        self.transport.abortConnection()
+
     def _abandon_exchange(self) -> None:
         if self.exchange is not None:
             self.exchange.finished = True
@@ -78,22 +98,31 @@
     def _close(self) -> None:
         """Close once all data is written; abort if the client does not read it within `head_s`."""
         self.closing = True
+        self._stop_processing()
         close_gracefully(self.transport)
         self._set_timeout(self.limits.head_s)
 
+    def _stop_processing(self) -> None:
+        cancel_if_active(self._next_turn)
+        cancel_if_active(self._peer_check)
+        self._next_turn = None
+        self._peer_check = None
+
     # Timeouts ------------------------------------------------------------------------------------
 
     def _set_timeout(self, timeout_s: float | None) -> None:
+        """Replace the timeout; while the client does not read, there is always one of at most `head_s`."""
         cancel_if_active(self._timeout)
         self._timeout = None
+        if not self._writable:
+            timeout_s = self.limits.head_s
         if timeout_s is not None:
             self._timeout = self.proxy.reactor.callLater(timeout_s, self._on_timeout)
 
     def _on_timeout(self) -> None:
         """Close a connection that is idle, or whose request or response makes no progress."""
         self.proxy.count(HttpCounter.DOWNSTREAM_TIMEOUTS)
-        awaits_head = self.exchange is None and self.http.their_state is h11.IDLE
-        if not self.closing and awaits_head and self.http.trailing_data[0]:
+        if not self.closing and self._receiving_head and self._writable:
             self._reject(
                 HTTPStatus.REQUEST_TIMEOUT, f"request head not received within {self.limits.head_s:g} s"
             )
@@ -106,30 +135,44 @@
         """Parse data from the client and process the events in it."""
         if self.closing:
             return
-        if self.exchange is None and self.http.their_state is h11.IDLE:
-            self._set_timeout(self.limits.head_s)
-        try:
-            self.http.receive_data(data)
+        self.parser.receive(data)
+        if self._next_turn is None:
             self._process_events()
-        except h11.RemoteProtocolError as error:
-            self._reject(error.error_status_hint, str(error))
 
     def _process_events(self) -> None:
-        if self._processing:
+        """Process the events that are due, and decide whether to read on."""
+        if self._processing or self.closing:
             # An immediate response, sent from the loop below; the loop continues with the next request.
             return
         self._processing = True
         try:
-            while not self.closing and self._process_event(self.http.next_event()):
-                pass
+            self._process_some_events()
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint, str(error))
         except HttpRequestError as error:
             self._reject(error.status_code, str(error))
         finally:
             self._processing = False
+        self._update_reading()
+
+    def _process_some_events(self) -> None:
+        for _ in range(MAX_EVENTS_PER_TURN):
+            if self.closing or not self._may_process() or not self._process_event(self.parser.next_event()):
+                return
+        self._next_turn = self.proxy.reactor.callLater(0, self._continue)
+
+    def _may_process(self) -> bool:
+        """Return whether the next event can be handled: a part of a body, or the head of a request."""
+        return self._writable if self.exchange is None else not self._body_paused
+
+    def _continue(self) -> None:
+        self._next_turn = None
+        self._process_events()
 
     def _process_event(self, event: Any) -> bool:
         """Handle one event. Return whether to look for more events."""
         if event is h11.NEED_DATA or event is h11.PAUSED:
+            self._limit_head_duration()
             return False
         if isinstance(event, h11.ConnectionClosed):
             self._close()
@@ -143,8 +186,19 @@
             self.exchange.receive_end()
         return True
 
+    def _limit_head_duration(self) -> None:
+        """Start the timeout of a head with its first byte; later bytes do not extend it."""
+        begins = self.exchange is None and self.parser.awaits_head and self.parser.buffered_bytes > 0
+        if begins and not self._receiving_head:
+            self._receiving_head = True
+            self._set_timeout(self.limits.head_s)
+
     def _begin_request(self, request: h11.Request) -> None:
+        self._receiving_head = False
         self._is_head_request = request.method == b"HEAD"
+        if is_closed_by_peer(self.transport):
+            self.abort()
+            return
         if self.proxy.stopping:
             raise HttpRequestError(HTTPStatus.SERVICE_UNAVAILABLE, "the proxy is shutting down")
         headers = dict(request.headers)
@@ -165,7 +219,7 @@
     def _reject(self, status_code: int, reason: str) -> None:
         """Send an error response and close the connection."""
         self.proxy.count(HttpCounter.REQUESTS_REJECTED)
-        if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+        if self.parser.can_respond:
             body = reason.encode() + b"\n"
             self._send(h11.Response(status_code=status_code, headers=error_headers(body)))
             self._send(h11.Data(data=b"" if self._is_head_request else body))
@@ -175,7 +229,7 @@
     # Responses -----------------------------------------------------------------------------------
 
     def _send(self, event: h11.Event) -> None:
-        data = self.http.send(event)
+        data = self.parser.send(event)
         if data:
             self.transport.write(data)
 
@@ -208,41 +262,68 @@
 
     def _next_request(self) -> None:
         self.exchange = None
-        self.set_paused(False)
-        must_close = self.proxy.stopping or self.http.our_state is h11.MUST_CLOSE
-        if must_close or self.http.their_state is not h11.DONE:
+        self._body_paused = False
+        if self.proxy.stopping or self.parser.must_close or not self.parser.is_request_complete:
             self._close()
             return
-        self.http.start_next_cycle()
+        self.parser.start_next_request()
         self._set_timeout(self.limits.idle_s)
-        try:
+        if self._next_turn is None:
             self._process_events()
-        except h11.RemoteProtocolError as error:
-            self._reject(error.error_status_hint, str(error))
 
     # Flow control --------------------------------------------------------------------------------
 
     def set_paused(self, paused: bool) -> None:
         """Pause reading from the client while its request body cannot be forwarded, or resume it."""
-        if paused == self._paused or self.closing:
+        if paused == self._body_paused or self.closing:
             return
-        self._paused = paused
-        if paused:
-            self.transport.pauseProducing()
+        self._body_paused = paused
+        if paused or self._next_turn is not None:
+            self._update_reading()
         else:
+            self._process_events()
+
+    def _update_reading(self) -> None:
+        """Pause reading while received data has to wait, and check meanwhile whether the client is there."""
+        if self.closing:
+            return
+        must_wait = self._next_turn is not None or not self._may_process()
+        has_next_request = self.exchange is not None and self.parser.buffered_bytes > 0
+        is_paused = self._peer_check is not None
+        if must_wait or has_next_request:
+            if not is_paused:
+                self.transport.pauseProducing()
+                self._schedule_peer_check()
+        elif is_paused:
+            cancel_if_active(self._peer_check)
+            self._peer_check = None
             self.transport.resumeProducing()
 
+    def _schedule_peer_check(self) -> None:
+        self._peer_check = self.proxy.reactor.callLater(PEER_CHECK_PERIOD_S, self._check_peer)
+
+    def _check_peer(self) -> None:
+        """Abort the connection if the client has closed it, which is not noticed while reading is paused."""
+        if is_closed_by_peer(self.transport):
+            self.transport.abortConnection()
+        else:
+            self._schedule_peer_check()
+
     def pauseProducing(self) -> None:
         """Pause reading from the server, and abort if the client does not read on within `head_s`."""
+        self._writable = False
         self._set_timeout(self.limits.head_s)
         if self.exchange is not None and self.exchange.upstream is not None:
             self.exchange.upstream.set_paused(True)
 
     def resumeProducing(self) -> None:
         """Resume reading from the server after the client has read on."""
-        self._set_timeout(None)
+        self._writable = True
+        self._set_timeout(self.limits.idle_s if self.exchange is None else None)
         if self.exchange is not None and self.exchange.upstream is not None:
             self.exchange.upstream.set_paused(False)
+        if self._next_turn is None:
+            self._process_events()
 
     def stopProducing(self) -> None:
         """Do nothing: the transport is closed and connectionLost follows."""
--- a/puffintide/proxy/http_messages.py
+++ b/puffintide/proxy/http_messages.py
@@ -127,10 +127,7 @@
     """
     header_bytes = sum(len(name) + len(value) + HEADER_LINE_OVERHEAD_BYTES for name, value in request.headers)
     if header_bytes + len(request.target) > max_head_bytes:
-        raise HttpRequestError(
-            HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-            f"request head of {header_bytes + len(request.target)} bytes exceeds {max_head_bytes} bytes",
-        )
+        raise head_too_large(header_bytes + len(request.target), max_head_bytes)
     if headers.keys() >= FRAMING_HEADERS:
         raise HttpRequestError(
             HTTPStatus.BAD_REQUEST, "request has both a content-length and a transfer-encoding header"
@@ -139,6 +136,14 @@
         raise body_too_large(max_body_bytes)
 
 
+def head_too_large(head_bytes: int, max_head_bytes: int) -> HttpRequestError:
+    """Return the error for a request head above the limit."""
+    return HttpRequestError(
+        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+        f"request head of {head_bytes} bytes exceeds {max_head_bytes} bytes",
+    )
+
+
 def body_too_large(max_body_bytes: int) -> HttpRequestError:
     """Return the error for a request body above the limit."""
     return HttpRequestError(
--- a/puffintide/proxy/http_proxy.py
+++ b/puffintide/proxy/http_proxy.py
@@ -78,6 +78,11 @@
         for downstream in list(self.downstreams):
             downstream.close_if_idle()
 
+    def abort_clients(self) -> None:
+        """Abort all clients' connections at the end of the process; their open requests get no response."""
+        for downstream in list(self.downstreams):
+            downstream.abort()
+
     # Clients -------------------------------------------------------------------------------------
 
     def begin_request(
@@ -90,7 +95,7 @@
         self.exchanges[handle] = exchange
         downstream.exchange = exchange
         if exchange.has_no_body():
-            downstream.http.next_event()  # EndOfMessage, which directly follows a head without a body.
+            downstream.parser.next_event()  # EndOfMessage, which directly follows a head without a body.
             exchange.request_complete = True
         slice_id = slice_for_key(routing.key, self.engine.settings.slice_count)
         self.run_effects(
--- a/puffintide/proxy/service.py
+++ b/puffintide/proxy/service.py
@@ -105,7 +105,7 @@
             on_stopped: Called once no request is open and no client is connected, or at the end of the wait.
         """
         if self._on_stopped is not None:
-            on_stopped()
+            self._end(on_stopped)
             return
         self._on_stopped = on_stopped
         self.line_proxy.stopping = True
@@ -115,9 +115,15 @@
             self.http_proxy.stop()
         self.log.info("stopping", requests=self._open_requests())
         longest_deadline_s = max(section.deadline_s for section in self.config.classes.values())
-        self.reactor.callLater(longest_deadline_s, on_stopped)
+        self.reactor.callLater(longest_deadline_s, self._end, on_stopped)
         self._check_stopped()
 
+    def _end(self, on_stopped: Callable[[], None]) -> None:
+        """End the wait for open requests. Paused connections are not closed by the reactor when it stops."""
+        if self.http_proxy is not None:
+            self.http_proxy.abort_clients()
+        on_stopped()
+
     def _open_requests(self) -> int:
         http_requests = len(self.http_proxy.exchanges) if self.http_proxy is not None else 0
         return len(self.line_proxy.calls) + http_requests
