HTTP: heads of many short fields and bodies of one-byte chunks are bounded

Callers saw: 600 clients with heads of 4,050 empty fields (16 KB each, within head_most) grew the proxy by 161 MB, and others had no response within 8 s; so had they beside 600 bodies of one-byte chunks.

Cause: limits counted bytes, but cost follows fields and chunks. h11 makes objects for each field, kept while the request is open; of a body that may be sent again each received chunk was kept as an object.

The body for a retry is one buffer.

--- a/puffintide/proxy/downstream.py
+++ b/puffintide/proxy/downstream.py
@@ -49,7 +49,7 @@
     def __init__(self, proxy: HttpProxy) -> None:
         self.proxy = proxy
         self.limits = proxy.process
-        self.parser = RequestParser(self.limits.head_most)
+        self.parser = RequestParser(self.limits.head_most, self.limits.fields_most)
         self.exchange: HttpExchange | None = None
         self.closing = False
         self._timeout: DelayedCall | None = None
--- a/puffintide/proxy/http_exchange.py
+++ b/puffintide/proxy/http_exchange.py
@@ -26,7 +26,7 @@
             self.headers.append((b"host", b""))  # HTTP/1.0 may omit it, HTTP/1.1 requires it.
         self.content_length = next((v for name, v in request.headers if name == b"content-length"), None)
         self.chunked = any(name == b"transfer-encoding" for name, _ in request.headers)
-        self.body_chunks: list[bytes] = []  # Chunks that a retry sends again.
+        self.replay_buffer = bytearray()  # The body received so far, which a retry sends again.
         self.body_size = 0  # Size of the body received so far, in bytes.
         self.request_complete = False
         self.replayable = True
@@ -51,12 +51,12 @@
         """Forward a part of the request's body, and buffer it while the request may be retried."""
         self.body_size += len(data)
         if self.replayable:
-            self.body_chunks.append(data)
+            self.replay_buffer += data
         if self.upstream is not None:
             self.upstream.send_body(data)
             if self.replayable and self.body_size > max_replay_bytes:
                 self.replayable = False
-                self.body_chunks = []
+                self.replay_buffer = bytearray()
                 self.downstream.proxy.engine.disable_retries(self.handle)
         elif self.body_size > max_replay_bytes:
             self.downstream.set_paused(True)  # No server is connected yet: stop reading from the client.
--- a/puffintide/proxy/http_request_parser.py
+++ b/puffintide/proxy/http_request_parser.py
@@ -1,16 +1,19 @@
 """Parses the requests of one client connection with h11, one at a time and within limits. Performs no I/O.
 
-h11 parses a head only once it is complete and within the limit.
+h11 parses a head only once it is complete and within the limits. The number of header fields is limited too:
+a head of very many short fields costs far more time and memory than its size suggests.
 """
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import Any
 
 import h11
 
-from puffintide.proxy.http_messages import head_too_large
+from puffintide.proxy.http_messages import HttpRequestError, head_too_large
 
+LINE_FEED = b"\n"
 END_OF_HEAD_LENGTH = 3  # Maximum length of what ends a head after its last line: LF, CR, LF.
 FIRST_PRINTABLE_BYTE = 0x21  # A head that starts below it is invalid, whatever follows.
 
@@ -22,10 +25,12 @@
 
     Args:
         max_head_bytes: Maximum size of a head in bytes.
+        max_header_fields: Maximum number of header fields of a request.
     """
 
-    def __init__(self, max_head_bytes: int) -> None:
+    def __init__(self, max_head_bytes: int, max_header_fields: int) -> None:
         self._max_head_bytes = max_head_bytes
+        self._max_header_fields = max_header_fields
         self._http = self._new_connection()
         self._unparsed = bytearray()
         self._scanned = 0  # Number of bytes in which no end of a head was found.
@@ -67,7 +72,7 @@
 
         Raises:
             h11.RemoteProtocolError: The request is malformed.
-            HttpRequestError: The head is too large.
+            HttpRequestError: The head is too large or has too many fields.
         """
         if self.awaits_head:
             head = self._take_head()
@@ -105,9 +110,15 @@
         return min(ends, default=0)
 
     def _check_head(self, length: int) -> None:
-        """Check the size of a head."""
+        """Check the size of a head, and its number of fields, of which each has a line."""
         if length > self._max_head_bytes:
             raise head_too_large(length, self._max_head_bytes)
+        line_count = self._unparsed.count(LINE_FEED, 0, length)
+        if line_count > self._max_header_fields + 2:  # The request line and the empty line are no fields.
+            raise HttpRequestError(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                f"request head has more than {self._max_header_fields} header fields",
+            )
 
     def send(self, event: h11.Event) -> bytes:
         """Return the bytes of an event of the response."""
--- a/puffintide/proxy/upstream.py
+++ b/puffintide/proxy/upstream.py
@@ -92,8 +92,8 @@
         self.attempt_id = attempt_id
         exchange.upstream = self
         self._send(exchange.head())
-        for data in exchange.body_chunks:
-            self.send_body(data)
+        if exchange.replay_buffer:
+            self.send_body(bytes(exchange.replay_buffer))
         if exchange.request_complete:
             self.send_end()
         exchange.downstream.set_paused(False)
