Streams: half lines of many peers take a bounded amount of memory

Callers saw: 300 peers that each sent 1 MB of a line and then nothing grew store, assigner and proxy by 214 to 263 MB, before a greeting as after one.

Cause: the limit of 4 MB, which the largest message needs, held for each peer from its first byte on and for each one alone.

Change: a greeting, and every line of a client, may have 16 KB; all incomplete lines of a port together 64 MB, beyond which the stream whose line has waited for the longest time is rejected. Stream and the listener of the shared platform share LineReceiver: 64 lines of one connection a turn, and nothing is read while lines wait. LineBuffer moves to the protocol package.

--- a/benchmarks/replication_assigner.py
+++ b/benchmarks/replication_assigner.py
@@ -43,7 +43,7 @@
     def count_and_handle(stream: Stream, data: bytes) -> None:
         global received_bytes
         received_bytes += len(data)
-        data_received(stream, data)  # type: ignore[no-untyped-call]
+        data_received(stream, data)
 
     Stream.dataReceived = count_and_handle  # type: ignore[method-assign, assignment]
 
--- a/puffintide/platform/errors.py
+++ b/puffintide/platform/errors.py
@@ -23,10 +23,6 @@
     """Raised for unreadable data on a connection, which must then be closed."""
 
 
-class LineTooLongError(StreamError):
-    """Raised for a line that exceeds the length limit of its connection."""
-
-
 class MalformedResponseError(StreamError):
     """Raised for data that is not an HTTP response, or for a response body that exceeds its limit."""
 
--- a/puffintide/platform/listener.py
+++ b/puffintide/platform/listener.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.internet.protocol import Factory, connectionDone
 from twisted.python.failure import Failure
 
 from puffintide.platform.client_messages import (
@@ -19,11 +19,11 @@
     SliceReport,
     decode_client_message,
 )
-from puffintide.platform.errors import InvalidMessageError, LineTooLongError, MalformedMessageError
-from puffintide.platform.line_buffer import LineBuffer
+from puffintide.platform.errors import InvalidMessageError, MalformedMessageError
 from puffintide.platform.log import Log
 from puffintide.platform.message_decoding import quoted
 from puffintide.platform.reactor import Reactor
+from puffintide.protocol.line_receiver import LineReceiver
 
 MAX_LINE_BYTES = 1 << 20
 MAX_UNIDENTIFIED_LINE_BYTES = 4096
@@ -54,19 +54,17 @@
     closed: int = 0
 
 
-class ClientConnection(Protocol):
+class ClientConnection(LineReceiver):
     """One accepted connection."""
 
-    transport: Any
-
     def __init__(self, listener: Listener) -> None:
+        super().__init__(listener.reactor, MAX_UNIDENTIFIED_LINE_BYTES)
         self.listener = listener
         self.accepted_at_s = listener.reactor.seconds()
         self.active_at_s = self.accepted_at_s
         self.closing_since_s: float | None = None
         self.zone: str | None = None  # Zone of a collector; None for other connections.
         self.unanswered_pings = 0  # Pings received before this assigner serves.
-        self._lines = LineBuffer(MAX_UNIDENTIFIED_LINE_BYTES)
 
     @property
     def is_collector(self) -> bool:
@@ -90,18 +88,18 @@
         """Do nothing, as the connection has ended."""
 
     def dataReceived(self, data: bytes) -> None:
-        """Handle the lines that are complete; reject the connection if a line is too long."""
-        if self.closing_since_s is not None:
-            return
+        """Record the activity, and handle the lines that are complete."""
         self.active_at_s = self.listener.reactor.seconds()
-        try:
-            lines = self._lines.feed(data)
-        except LineTooLongError as error:
-            self.reject(str(error))
-            return
-        for line in lines:
-            if self.closing_since_s is None and line.strip():
-                self._on_line(line)
+        super().dataReceived(data)
+
+    def handle_line(self, line: bytes) -> None:
+        """Handle a line, unless it is empty."""
+        if line.strip():
+            self._on_line(line)
+
+    def handle_line_too_long(self, reason: str) -> None:
+        """Reject the connection."""
+        self.reject(reason)
 
     def _on_line(self, line: bytes) -> None:
         try:
@@ -135,7 +133,7 @@
             self.reject(f"cannot register collector: zone {quoted(zone)} is not in the settings")
         elif not self.is_collector:
             self.zone = zone
-            self._lines.max_line_bytes = MAX_LINE_BYTES
+            self.lines.max_line_bytes = MAX_LINE_BYTES
             self.listener.on_identified(self)
 
     def answer_pings(self) -> None:
@@ -152,6 +150,7 @@
     def close(self, last_line: bytes = b"") -> None:
         """Close the connection after the last line, if there is one, has been sent."""
         self.closing_since_s = self.listener.reactor.seconds()
+        self.discard_lines()
         if last_line:
             self.transport.write(last_line)
         self.transport.unregisterProducer()
@@ -159,6 +158,7 @@
 
     def connectionLost(self, _reason: Failure = connectionDone) -> None:
         """Unregister the connection."""
+        self.discard_lines()
         self.listener.on_disconnected(self)
 
 
--- a/puffintide/platform/relay_snapshot.py
+++ b/puffintide/platform/relay_snapshot.py
@@ -11,11 +11,12 @@
 from puffintide.platform.config import Address
 from puffintide.platform.errors import InvalidMessageError, StreamError
 from puffintide.platform.http_exchange import HttpExchange
-from puffintide.platform.line_buffer import LineBuffer
 from puffintide.platform.reactor import Reactor, Timer, connect
 from puffintide.platform.relay_messages import WATCH_TARGET, Heartbeat, decode_relay_message
 from puffintide.platform.relay_state import RelayState, Tables
 from puffintide.platform.watch_stream import MAX_LINE_BYTES
+from puffintide.protocol.errors import LineTooLongError
+from puffintide.protocol.line_buffer import LineBuffer
 
 CONNECT_TIMEOUT_S = 0.5
 IDLE_TIMEOUT_S = 0.06  # After this time without a line, in seconds, the snapshot has most likely been sent.
@@ -60,7 +61,7 @@
         try:
             lines = [line for chunk in self.exchange.receive(data) for line in self.lines.feed(chunk)]
             messages = [decode_relay_message(line) for line in lines]
-        except (StreamError, InvalidMessageError):
+        except (StreamError, LineTooLongError, InvalidMessageError):
             self._fail()
             return
         for message in messages:
--- a/puffintide/platform/watch_stream.py
+++ b/puffintide/platform/watch_stream.py
@@ -11,8 +11,9 @@
 from puffintide.platform.config import Address
 from puffintide.platform.errors import MalformedResponseError, StreamError
 from puffintide.platform.http_exchange import STATUS_OK, HttpExchange
-from puffintide.platform.line_buffer import LineBuffer
 from puffintide.platform.reactor import Reactor, Timer, connect
+from puffintide.protocol.errors import LineTooLongError
+from puffintide.protocol.line_buffer import LineBuffer
 
 CONNECT_TIMEOUT_S = 1.0
 SILENCE_CHECK_PERIOD_S = 0.5
@@ -74,7 +75,7 @@
         self.silent_checks = 0
         try:
             self._receive(data)
-        except StreamError as error:
+        except (StreamError, LineTooLongError) as error:
             self.drop(str(error))
             return
         if self.exchange.complete:
--- a/puffintide/protocol/errors.py
+++ b/puffintide/protocol/errors.py
@@ -11,6 +11,10 @@
     """An encoded message exceeds the maximum length of a line."""
 
 
+class LineTooLongError(ProtocolError):
+    """A received line exceeds the limit of its connection."""
+
+
 class MessageDecodeError(ProtocolError):
     """A line is not a message, or a field is missing or has the wrong type."""
 
--- a/puffintide/platform/line_buffer.py
+++ b/puffintide/protocol/line_buffer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from puffintide.platform.errors import LineTooLongError
+from puffintide.protocol.errors import LineTooLongError
 
 MAX_PIECES = 64  # Maximum number of pieces of an incomplete line before they are joined.
 
@@ -15,6 +15,11 @@
         self._pieces: list[bytes] = []
         self._buffered_bytes = 0
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the incomplete line."""
+        return self._buffered_bytes
+
     def feed(self, data: bytes) -> list[bytes]:
         """Add received bytes, and return the lines that they complete, without the LF.
 
--- a/puffintide/protocol/stream.py
+++ b/puffintide/protocol/stream.py
@@ -7,12 +7,13 @@
 
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import Factory, connectionDone
-from twisted.protocols.basic import LineOnlyReceiver
 from twisted.python.failure import Failure
 
 from puffintide.protocol.clock import Clock, Timer
 from puffintide.protocol.codec import MAX_LINE_BYTES, encode
 from puffintide.protocol.errors import PeerRejectedError, ProtocolError
+from puffintide.protocol.incomplete_lines import IncompleteLines
+from puffintide.protocol.line_receiver import LineReceiver
 from puffintide.protocol.messages import AnyMessage, ConnectionRejected, Hello, Message, PeerRole, Welcome
 from puffintide.protocol.session import Greeting, PeerCheck, Session, accept_any_peer
 from puffintide.tls.context import peer_dns_names
@@ -20,6 +21,7 @@
 
 HEARTBEAT_INTERVAL_S = 0.5
 HEARTBEAT_TIMEOUT_S = 2.0
+MAX_GREETING_BYTES = 16 << 10  # Maximum length of a greeting, and of every line of a client.
 MAX_REASON_LENGTH = 500  # Maximum length of the reason sent with a rejection, in characters.
 
 MessageHandler = Callable[["Stream", AnyMessage], None]
@@ -44,7 +46,7 @@
     transport.loseConnection()
 
 
-class Stream(LineOnlyReceiver):
+class Stream(LineReceiver):
     """A connection to a peer that sends and receives messages as lines.
 
     Args:
@@ -53,16 +55,18 @@
         on_message: Called with the stream and each message, starting with the peer's greeting.
         on_lost: Called once when the stream is closed, with the stream and a ConnectionRejected that holds
             the reason.
+        incomplete_lines: Limits the incomplete lines of several streams together, if there is one.
     """
 
-    delimiter = b"\n"
-    MAX_LENGTH = MAX_LINE_BYTES
-    transport: Any
-
     def __init__(
-        self, clock: Clock, session: Session, on_message: MessageHandler, on_lost: MessageHandler | None
+        self,
+        clock: Clock,
+        session: Session,
+        on_message: MessageHandler,
+        on_lost: MessageHandler | None,
+        incomplete_lines: IncompleteLines | None = None,
     ) -> None:
-        self.clock = clock
+        super().__init__(clock, MAX_LINE_BYTES)
         self.session = session
         self.on_message = on_message
         self.on_lost = on_lost
@@ -73,6 +77,8 @@
         self.peer = UNIDENTIFIED_PEER  # Set by the owner.
         self.on_writable: Callable[[], None] | None = None  # Called when the stream is writable again.
         self._heartbeat_timer: Timer | None = None
+        self._incomplete_lines = incomplete_lines or IncompleteLines()
+        self._closing = False
 
     def connectionMade(self) -> None:
         """Send the greeting and start the heartbeats."""
@@ -81,10 +87,41 @@
         self._send_all(self.session.handle_connected(self.clock.seconds()))
         self._schedule_heartbeat()
 
-    def lineReceived(self, line: bytes) -> None:
+    # Received lines ------------------------------------------------------------------------------
+
+    def dataReceived(self, data: bytes) -> None:
+        """Handle the lines that are complete, and limit the incomplete one."""
+        super().dataReceived(data)
+        if self._closing:
+            return
+        size = self.lines.buffered_bytes
+        if size > self._max_line_bytes():
+            self._reject_too_long()
+        else:
+            self._incomplete_lines.update(self.reject, size)
+
+    def handle_line(self, line: bytes) -> None:
         """Pass the message of a line to the owner, or reject the peer if the line is invalid."""
-        if self.closed:
+        if len(line) > self._max_line_bytes():
+            self._reject_too_long()
             return
+        self._receive_line(line)
+
+    def handle_line_too_long(self, reason: str) -> None:
+        """Reject the peer."""
+        self.reject(reason)
+
+    def _is_client(self) -> bool:
+        greeting = self.session.peer_greeting
+        return greeting is not None and greeting.role == PeerRole.CLIENT
+
+    def _max_line_bytes(self) -> int:
+        return MAX_LINE_BYTES if self.established and not self._is_client() else MAX_GREETING_BYTES
+
+    def _reject_too_long(self) -> None:
+        self.reject(f"received line exceeds the limit of {self._max_line_bytes()} bytes")
+
+    def _receive_line(self, line: bytes) -> None:
         try:
             messages, replies = self.session.receive_line(self.clock.seconds(), line)
         except PeerRejectedError as error:
@@ -121,9 +158,7 @@
             return None
         return f"peer certificate is for {', '.join(sorted(certificate_names)) or 'no name'}, not {name}"
 
-    def lineLengthExceeded(self, _line: bytes) -> None:
-        """Reject a peer whose line is too long."""
-        self.reject(f"received line exceeds the limit of {MAX_LINE_BYTES} bytes")
+    # Sent messages -------------------------------------------------------------------------------
 
     def send(self, message: Message) -> None:
         """Encode and send a message; do nothing if the stream is closed."""
@@ -131,8 +166,9 @@
 
     def send_line(self, line: bytes) -> None:
         """Send an encoded message, so that a message for many peers is encoded only once."""
-        if not self.closed:
-            self.transport.write(line + b"\n")
+        if self.closed:
+            return
+        self.transport.write(line + b"\n")
 
     def _send_all(self, messages: list[Message]) -> None:
         for message in messages:
@@ -140,13 +176,14 @@
 
     def reject(self, reason: str) -> None:
         """Send the reason and close the stream."""
-        if self.closed:
+        if self.closed or self._closing:
             return
         self.send(ConnectionRejected(reason[:MAX_REASON_LENGTH]))
         self._close(reason)
 
     def _close(self, reason: str) -> None:
         self.close_reason = reason
+        self._end_input()
         close_gracefully(self.transport)
         if not self.writable:
             self.transport.abortConnection()
@@ -154,9 +191,16 @@
     def abort(self, reason: str) -> None:
         """Close the stream immediately and discard buffered data."""
         self.close_reason = self.close_reason or reason
+        self._end_input()
         if not self.closed:
             self.transport.abortConnection()
 
+    def _end_input(self) -> None:
+        """Discard what was received and is not handled, as the stream closes."""
+        self._closing = True
+        self.discard_lines()
+        self._incomplete_lines.update(self.reject, 0)
+
     def _schedule_heartbeat(self) -> None:
         delay_s = self.session.heartbeat_interval_s / 2
         self._heartbeat_timer = self.clock.callLater(delay_s, self._send_heartbeat)
@@ -187,6 +231,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Cancel the heartbeats and tell the owner that the transport was closed by either end."""
         self.closed = True
+        self._end_input()
         if self._heartbeat_timer is not None:
             self._heartbeat_timer.cancel()
             self._heartbeat_timer = None
@@ -226,10 +271,11 @@
         self.check_peer = check_peer
         self.heartbeat_interval_s = heartbeat_interval_s
         self.heartbeat_timeout_s = heartbeat_timeout_s
+        self._incomplete_lines = IncompleteLines()
 
     def buildProtocol(self, _addr: IAddress | None) -> Stream:
         """Create the stream of one connection."""
         session = Session(
             self.greeting_factory(), self.heartbeat_interval_s, self.heartbeat_timeout_s, self.check_peer
         )
-        return Stream(self.clock, session, self.on_message, self.on_lost)
+        return Stream(self.clock, session, self.on_message, self.on_lost, self._incomplete_lines)
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -7,12 +7,10 @@
 import h11
 import pytest
 
-from puffintide.platform.errors import (
-    LineTooLongError,
-    MalformedResponseError,
-)
+from puffintide.platform.errors import MalformedResponseError
 from puffintide.platform.http_exchange import HttpExchange
-from puffintide.platform.line_buffer import LineBuffer
+from puffintide.protocol.errors import LineTooLongError
+from puffintide.protocol.line_buffer import LineBuffer
 
 
 def splits(data: bytes) -> Iterator[list[bytes]]:
