Streams: replies that a peer does not read no longer grow without end

Callers saw: one peer that sent pings at full speed and read nothing grew store, assigner and proxy by 39 to 43 MB in 3 s, and was served after 15 s.

Cause: each reply was written to the transport's buffer, however much of it was unread.

Change: a stream counts what it sends in reply while the peer does not read; beyond 64 KB its next lines wait and it is not read, and the heartbeat ends it with a reason. Updates that a peer did not ask for do not count.

--- a/puffintide/protocol/stream.py
+++ b/puffintide/protocol/stream.py
@@ -22,6 +22,7 @@
 HEARTBEAT_INTERVAL_S = 0.5
 HEARTBEAT_TIMEOUT_S = 2.0
 MAX_GREETING_BYTES = 16 << 10  # Maximum length of a greeting, and of every line of a client.
+MAX_UNREAD_REPLY_BYTES = 64 << 10  # Replies that a peer may leave unread before its next lines wait.
 MAX_REASON_LENGTH = 500  # Maximum length of the reason sent with a rejection, in characters.
 
 MessageHandler = Callable[["Stream", AnyMessage], None]
@@ -49,6 +50,8 @@
 class Stream(LineReceiver):
     """A connection to a peer that sends and receives messages as lines.
 
+    Lines wait while the peer does not read the replies to earlier ones.
+
     Args:
         clock: Clock that schedules heartbeats.
         session: Protocol state of this connection.
@@ -79,6 +82,8 @@
         self._heartbeat_timer: Timer | None = None
         self._incomplete_lines = incomplete_lines or IncompleteLines()
         self._closing = False
+        self._replying = False  # Whether what is sent answers a received line.
+        self._unread_reply_bytes = 0  # Size of the replies since the stream is not writable.
 
     def connectionMade(self) -> None:
         """Send the greeting and start the heartbeats."""
@@ -105,12 +110,20 @@
         if len(line) > self._max_line_bytes():
             self._reject_too_long()
             return
-        self._receive_line(line)
+        self._replying = True
+        try:
+            self._receive_line(line)
+        finally:
+            self._replying = False
 
     def handle_line_too_long(self, reason: str) -> None:
         """Reject the peer."""
         self.reject(reason)
 
+    def may_handle_line(self) -> bool:
+        """Return whether the peer reads the replies to its earlier lines."""
+        return self.writable or self._unread_reply_bytes <= MAX_UNREAD_REPLY_BYTES
+
     def _is_client(self) -> bool:
         greeting = self.session.peer_greeting
         return greeting is not None and greeting.role == PeerRole.CLIENT
@@ -168,8 +181,18 @@
         """Send an encoded message, so that a message for many peers is encoded only once."""
         if self.closed:
             return
+        if self._replying and not self.writable:
+            self._unread_reply_bytes += len(line) + 1
         self.transport.write(line + b"\n")
 
+    def send_reply(self, message: Message) -> None:
+        """Send the reply to an earlier message, which counts towards the limit of unread replies."""
+        replying, self._replying = self._replying, True
+        try:
+            self.send(message)
+        finally:
+            self._replying = replying
+
     def _send_all(self, messages: list[Message]) -> None:
         for message in messages:
             self.send(message)
@@ -210,7 +233,8 @@
         try:
             self._send_all(self.session.due_heartbeats(self.clock.seconds()))
         except ProtocolError as error:
-            self.abort(str(error))
+            unread = "peer does not read the replies to its messages"
+            self.abort(str(error) if self.may_handle_line() else unread)
             return
         self._schedule_heartbeat()
 
@@ -221,8 +245,10 @@
     def resumeProducing(self) -> None:
         """Mark the stream as writable again, because the transport's buffer has drained."""
         self.writable = True
+        self._unread_reply_bytes = 0
         if self.on_writable is not None:
             self.on_writable()
+        self.continue_lines()
 
     def stopProducing(self) -> None:
         """Mark the stream as not writable, because the transport is closing."""
--- a/puffintide/proxy/line_proxy.py
+++ b/puffintide/proxy/line_proxy.py
@@ -216,7 +216,7 @@
             )
         call = self.calls.pop(effect.handle, None)
         if call is not None:
-            call.stream.send(
+            call.stream.send_reply(
                 m.ClientResponse(
                     call.request_id, effect.status, effect.retry_after_s, effect.may_have_executed
                 )
--- a/tests/test_hostile_stream_clients.py
+++ b/tests/test_hostile_stream_clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
@@ -12,8 +13,8 @@
 
 from puffintide.protocol import messages as m
 from puffintide.protocol.codec import encode
-from tests.hostile_clients import Observation, connect, crowd
-from tests.peers import PORTS, AssignerHarness, charges, process, servers
+from tests.hostile_clients import Observation, connect, crowd, flood
+from tests.peers import MAX_WAIT_S, PORTS, AssignerHarness, charges, process, servers
 from tests.test_proxy_service import ProxySetting
 
 pytestmark = pytest.mark.processes
@@ -82,6 +83,13 @@
 
 PROGRAMS = {"store": running_store, "assigner": running_assigner, "proxy": running_proxy}
 Attack = Callable[[Program], contextlib.AbstractContextManager[Any]]
+FLOODS: dict[str, Attack] = {
+    "pings, pongs unread": lambda p: flood(p.port, line(m.Ping()) * 5000, p.greeting),
+    "pings, pongs read": lambda p: flood(p.port, line(m.Ping()) * 5000, p.greeting, reads=True),
+    "requests, responses unread": lambda p: flood(p.port, line(p.request) * 5000, p.greeting),
+    "requests, responses read": lambda p: flood(p.port, line(p.request) * 5000, p.greeting, reads=True),
+    "a line without end": lambda p: flood(p.port, HALF_LINE, p.greeting),
+}
 
 
 @pytest.fixture(params=PROGRAMS)
@@ -115,3 +123,20 @@
     observation = observe(program, lambda p: crowd(p.port, CROWD, p.greeting + HALF_LINE))
     assert observation.growth_bytes < LINES_BYTES + CROWD * READ_BYTES + BASE_BYTES
     assert max(observation.latencies_s) < LATENCY_OBJECTIVE_S
+
+
+# Guards against answers that a peer does not read, and against a peer that takes all turns.
+@pytest.mark.parametrize("name", FLOODS)
+def test_one_peer_at_full_speed_costs_little_memory_and_delays_no_other(program: Program, name: str) -> None:
+    observation = observe(program, FLOODS[name])
+    assert observation.growth_bytes < BASE_BYTES
+    assert max(observation.latencies_s) < LATENCY_OBJECTIVE_S
+
+
+# Guards against memory that grows as long as a peer sends requests without reading the responses.
+def test_peer_that_never_reads_is_disconnected_once_buffers_are_full(program: Program) -> None:
+    with flood(program.port, line(m.Ping()) * 5000, program.greeting) as running_flood:
+        end_s = time.monotonic() + MAX_WAIT_S
+        while not running_flood.ended_by_peer and time.monotonic() < end_s:
+            time.sleep(0.1)
+        assert running_flood.ended_by_peer
