Proxy: requests of line clients that have closed are not sent on

Callers saw: a client sent 500 requests and closed before the proxy read them; all 500 were sent to the server. Of 66,000 sent at once, 2,653 went out up to 0.1 s after the client had closed. HTTP did not show it.

Cause: the end of a connection is read behind the data before it, and what was received was handled as if its sender were there.

Change: before a turn of a client's lines the state of the TCP connection is looked up, and a closed client's lines are discarded. Other peers' last lines still count: an assigner's writes are valid after its end.

Evidence: 2 of 2 cases failed before on real processes (500 of 500 forwarded), none now.

--- a/puffintide/protocol/line_receiver.py
+++ b/puffintide/protocol/line_receiver.py
@@ -47,6 +47,10 @@
         """Return whether the next line can be handled now; if not, continue_lines() is called later."""
         return True
 
+    def may_begin_turn(self) -> bool:
+        """Return whether lines are still to be handled."""
+        return True
+
     def dataReceived(self, data: bytes) -> None:
         """Handle the lines that are complete."""
         if self._discarding:
@@ -77,6 +81,8 @@
         self._handle_lines()
 
     def _handle_lines(self) -> None:
+        if not self.may_begin_turn():
+            return
         for _ in range(MAX_LINES_PER_TURN):
             if not self._waiting_lines or not self.may_handle_line():
                 break
--- a/puffintide/protocol/stream.py
+++ b/puffintide/protocol/stream.py
@@ -16,6 +16,7 @@
 from puffintide.protocol.line_receiver import LineReceiver
 from puffintide.protocol.messages import AnyMessage, ConnectionRejected, Hello, Message, PeerRole, Welcome
 from puffintide.protocol.session import Greeting, PeerCheck, Session, accept_any_peer
+from puffintide.protocol.tcp_state import is_closed_by_peer
 from puffintide.tls.context import peer_dns_names
 from puffintide.tls.keys import certificate_name
 
@@ -124,6 +125,13 @@
         """Return whether the peer reads the replies to its earlier lines."""
         return self.writable or self._unread_reply_bytes <= MAX_UNREAD_REPLY_BYTES
 
+    def may_begin_turn(self) -> bool:
+        """Return whether the peer is still there, and abort the stream if it is a client that has closed it."""
+        if not self._is_client() or not is_closed_by_peer(self.transport):
+            return True
+        self.abort("client closed the connection")
+        return False
+
     def _is_client(self) -> bool:
         greeting = self.session.peer_greeting
         return greeting is not None and greeting.role == PeerRole.CLIENT
--- a/tests/test_hostile_stream_clients.py
+++ b/tests/test_hostile_stream_clients.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import contextlib
+import signal
+import socket
+import struct
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -133,6 +136,34 @@
     assert max(observation.latencies_s) < LATENCY_OBJECTIVE_S
 
 
+# Guards against requests of a closed client that are sent on from what was received before.
+@pytest.mark.parametrize("reset", [False, True])
+def test_line_requests_of_a_closed_client_are_not_forwarded(tmp_path: Path, reset: bool) -> None:
+    setting = ProxySetting(tmp_path)
+    with setting.running() as running:
+        _, store = setting.accept_control_plane()
+        store.send(setting.ownerships(0))
+        other_client = setting.client()
+        other_client.send(m.ClientRequest(1, 0, 7, 4.0))
+        server = setting.servers[0].accept("server")
+        server.wait_for(lambda message: isinstance(message, m.AttemptRequest))
+        sock = connect(setting.port)
+        sock.sendall(line(m.Hello(m.PROTOCOL_VERSION, "client", 0)))
+        assert b"welcome" in sock.recv(65536)
+        running.send_signal(signal.SIGSTOP)  # The client closes before the proxy reads its requests.
+        sock.sendall(line(*(m.ClientRequest(k, 0, 7, 4.0) for k in range(500))))
+        if reset:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.close()
+        running.send_signal(signal.SIGCONT)
+        other_client.send(m.ClientRequest(2, 0, 8, 4.0))
+        attempts = [server.wait_for(lambda message: isinstance(message, m.AttemptRequest)).key]
+        with contextlib.suppress(TimeoutError):
+            while True:
+                attempts.append(server.wait_for(lambda x: isinstance(x, m.AttemptRequest), 1.0).key)
+        assert attempts == [8]
+
+
 # Guards against memory that grows as long as a peer sends requests without reading the responses.
 def test_peer_that_never_reads_is_disconnected_once_buffers_are_full(program: Program) -> None:
     with flood(program.port, line(m.Ping()) * 5000, program.greeting) as running_flood:
