Platform: half lines of collectors take a bounded amount of memory

Callers saw: 300 connections that call themselves collectors and send 1 MB of a line each: the assigner had 67.3 MB where its configuration had 64.

Cause: 32 collectors are kept, and each line may have 1 MiB; nothing limited them together.

Change: LineReceiver applies the limit of all incomplete lines for streams and for the platform's listener, there 8 MB.

--- a/puffintide/platform/listener.py
+++ b/puffintide/platform/listener.py
@@ -23,10 +23,12 @@
 from puffintide.platform.log import Log
 from puffintide.platform.message_decoding import quoted
 from puffintide.platform.reactor import Reactor
+from puffintide.protocol.incomplete_lines import IncompleteLines
 from puffintide.protocol.line_receiver import LineReceiver
 
 MAX_LINE_BYTES = 1 << 20
 MAX_UNIDENTIFIED_LINE_BYTES = 4096
+MAX_INCOMPLETE_BYTES = 8 << 20  # Incomplete lines of all connections together; the process has little memory.
 # Time in seconds after which a connection that is not identified as a collector is closed. The platform
 # grants 1 s to identify, and requires that others are closed after 3 s at most.
 IDENTIFY_TIMEOUT_S = 1.5
@@ -58,7 +60,7 @@
     """One accepted connection."""
 
     def __init__(self, listener: Listener) -> None:
-        super().__init__(listener.reactor, MAX_UNIDENTIFIED_LINE_BYTES)
+        super().__init__(listener.reactor, MAX_UNIDENTIFIED_LINE_BYTES, listener.incomplete_lines)
         self.listener = listener
         self.accepted_at_s = listener.reactor.seconds()
         self.active_at_s = self.accepted_at_s
@@ -189,6 +191,7 @@
         self.zones = zones
         self.log = log
         self.max_unidentified = max_unidentified
+        self.incomplete_lines = IncompleteLines(MAX_INCOMPLETE_BYTES)
         self.serving = False
         self.port: Any = None
         self.unidentified: dict[ClientConnection, None] = {}  # Ordered by age, oldest first.
--- a/puffintide/protocol/line_receiver.py
+++ b/puffintide/protocol/line_receiver.py
@@ -9,6 +9,7 @@
 
 from puffintide.protocol.clock import Clock, Timer
 from puffintide.protocol.errors import LineTooLongError
+from puffintide.protocol.incomplete_lines import IncompleteLines
 from puffintide.protocol.line_buffer import LineBuffer
 
 MAX_LINES_PER_TURN = 64  # Lines of one connection after which others get their turn.
@@ -23,13 +24,17 @@
     Args:
         clock: Clock that schedules the next turn.
         max_line_bytes: Maximum length of a line in bytes, without its newline.
+        incomplete_lines: Limits the incomplete lines of several connections together, if there is one.
     """
 
     transport: Any
 
-    def __init__(self, clock: Clock, max_line_bytes: int) -> None:
+    def __init__(
+        self, clock: Clock, max_line_bytes: int, incomplete_lines: IncompleteLines | None = None
+    ) -> None:
         self.clock = clock
         self.lines = LineBuffer(max_line_bytes)
+        self._incomplete_lines = incomplete_lines or IncompleteLines()
         self._waiting_lines: deque[bytes] = deque()
         self._next_turn: Timer | None = None
         self._discarding = False
@@ -40,7 +45,7 @@
         raise NotImplementedError
 
     def handle_line_too_long(self, reason: str) -> None:
-        """Close the connection, as a line exceeds the limit."""
+        """Close the connection, as its line, or all incomplete lines together, exceed a limit."""
         raise NotImplementedError
 
     def may_handle_line(self) -> bool:
@@ -62,6 +67,8 @@
             return
         if self._next_turn is None:
             self._handle_lines()
+        if not self._discarding:
+            self._incomplete_lines.update(self.handle_line_too_long, self.lines.buffered_bytes)
 
     def continue_lines(self) -> None:
         """Handle waiting lines in the next turn, after may_handle_line() has changed."""
@@ -72,6 +79,7 @@
         """Discard all lines from now on, as the connection closes."""
         self._discarding = True
         self._waiting_lines.clear()
+        self._incomplete_lines.update(self.handle_line_too_long, 0)
         if self._next_turn is not None:
             self._next_turn.cancel()
             self._next_turn = None
--- a/puffintide/protocol/stream.py
+++ b/puffintide/protocol/stream.py
@@ -70,7 +70,7 @@
         on_lost: MessageHandler | None,
         incomplete_lines: IncompleteLines | None = None,
     ) -> None:
-        super().__init__(clock, MAX_LINE_BYTES)
+        super().__init__(clock, MAX_LINE_BYTES, incomplete_lines)
         self.session = session
         self.on_message = on_message
         self.on_lost = on_lost
@@ -81,7 +81,6 @@
         self.peer = UNIDENTIFIED_PEER  # Set by the owner.
         self.on_writable: Callable[[], None] | None = None  # Called when the stream is writable again.
         self._heartbeat_timer: Timer | None = None
-        self._incomplete_lines = incomplete_lines or IncompleteLines()
         self._closing = False
         self._replying = False  # Whether what is sent answers a received line.
         self._unread_reply_bytes = 0  # Size of the replies since the stream is not writable.
@@ -98,13 +97,8 @@
     def dataReceived(self, data: bytes) -> None:
         """Handle the lines that are complete, and limit the incomplete one."""
         super().dataReceived(data)
-        if self._closing:
-            return
-        size = self.lines.buffered_bytes
-        if size > self._max_line_bytes():
+        if not self._closing and self.lines.buffered_bytes > self._max_line_bytes():
             self._reject_too_long()
-        else:
-            self._incomplete_lines.update(self.reject, size)
 
     def handle_line(self, line: bytes) -> None:
         """Pass the message of a line to the owner, or reject the peer if the line is invalid."""
@@ -230,7 +224,6 @@
         """Discard what was received and is not handled, as the stream closes."""
         self._closing = True
         self.discard_lines()
-        self._incomplete_lines.update(self.reject, 0)
 
     def _schedule_heartbeat(self) -> None:
         delay_s = self.session.heartbeat_interval_s / 2
