Split stream and downstream modules, and bound which proxies' withdrawals are tracked

Only the configured number of proxies is tracked as holders of withdrawals, so that ever new ids take no memory; its test fails without the bound.

--- a/puffintide/decisions/withdrawals.py
+++ b/puffintide/decisions/withdrawals.py
@@ -60,13 +60,15 @@
         """Record the withdrawals and readmissions of a message that ends with a checkpoint."""
         fleet = self._fleet
         holders = fleet.withdrawal_holders
+        # A peer may connect under any id; those beyond the configured number are not tracked.
+        proxy_ids = {proxy_id for proxy_id in fleet.proxies if proxy_id < fleet.settings.proxy_count}
         for action in actions:
             if not isinstance(action, SetWithdrawn):
                 continue
             if action.withdrawn:
-                holders.on_withdrawn(action.server_id, fleet.proxies)
+                holders.on_withdrawn(action.server_id, proxy_ids)
             else:
-                holders.on_readmitted(action.server_id, fleet.proxies, checkpoint.checkpoint_id, fleet.now_s)
+                holders.on_readmitted(action.server_id, proxy_ids, checkpoint.checkpoint_id, fleet.now_s)
 
     def _missed_readmissions(self) -> list[int]:
         """Return ready servers that were readmitted while a proxy that is now connected could not be told."""
--- a/puffintide/proxy/downstream.py
+++ b/puffintide/proxy/downstream.py
@@ -28,13 +28,13 @@
 )
 from puffintide.proxy.http_request_parser import RequestParser
 from puffintide.proxy.reactor import DelayedCall, Transport, cancel_if_active
+from puffintide.proxy.read_pause import ReadPause
 
 if TYPE_CHECKING:
     from puffintide.proxy.http_proxy import HttpProxy
 
 
 MAX_EVENTS_PER_TURN = 8  # Events of one connection after which others get their turn.
-PEER_CHECK_PERIOD_S = 0.25  # Period of the check for closed clients whose data is not read.
 
 
 class DownstreamConnection(Protocol):
@@ -54,7 +54,7 @@
         self.closing = False
         self._timeout: DelayedCall | None = None
         self._next_turn: DelayedCall | None = None  # Continues processing after other connections' turns.
-        self._peer_check: DelayedCall | None = None  # Set while reading is paused.
+        self._read_pause = ReadPause(proxy.reactor, self.abort)
         self._body_paused = False  # Whether the body cannot be forwarded now.
         self._writable = True  # Whether the client reads what is sent to it.
         self._receiving_head = False
@@ -104,9 +104,8 @@
 
     def _stop_processing(self) -> None:
         cancel_if_active(self._next_turn)
-        cancel_if_active(self._peer_check)
         self._next_turn = None
-        self._peer_check = None
+        self._read_pause.stop()
 
     # Timeouts ------------------------------------------------------------------------------------
 
@@ -284,30 +283,12 @@
             self._process_events()
 
     def _update_reading(self) -> None:
-        """Pause reading while received data has to wait, and check meanwhile whether the client is there."""
+        """Read no further while received data has to wait."""
         if self.closing:
             return
         must_wait = self._next_turn is not None or not self._may_process()
         has_next_request = self.exchange is not None and self.parser.buffered_bytes > 0
-        is_paused = self._peer_check is not None
-        if must_wait or has_next_request:
-            if not is_paused:
-                self.transport.pauseProducing()
-                self._schedule_peer_check()
-        elif is_paused:
-            cancel_if_active(self._peer_check)
-            self._peer_check = None
-            self.transport.resumeProducing()
-
-    def _schedule_peer_check(self) -> None:
-        self._peer_check = self.proxy.reactor.callLater(PEER_CHECK_PERIOD_S, self._check_peer)
-
-    def _check_peer(self) -> None:
-        """Abort the connection if the client has closed it, which is not noticed while reading is paused."""
-        if is_closed_by_peer(self.transport):
-            self.transport.abortConnection()
-        else:
-            self._schedule_peer_check()
+        self._read_pause.set_paused(self.transport, must_wait or has_next_request)
 
     def pauseProducing(self) -> None:
         """Pause reading from the server, and abort if the client does not read on within `head_s`."""
--- a/tests/test_readmissions.py
+++ b/tests/test_readmissions.py
@@ -208,3 +208,12 @@
     holders.on_withdrawn(1, [0])
     holders.on_server_forgotten(1)
     assert holders.missed_readmissions([0], 0.0, 7.5) == set()
+
+
+# Guards against memory for each name that a hostile peer connects under.
+def test_only_the_configured_number_of_proxies_is_tracked(world: StreamWorld) -> None:
+    fleet = world.director.fleet
+    fleet.proxies.add(fleet.settings.proxy_count)
+    actions = [SetWithdrawn(3, True)]
+    world.director.publisher.withdrawals.record_sent(actions, SendCheckpoint(1))
+    assert set(fleet.withdrawal_holders._holders[3]) == set(range(fleet.settings.proxy_count))
