HTTP: a request rejected within its body no longer stops the proxy

Callers saw: after 600 clients had sent a malformed chunk no other client had a response, also after they had gone.

Cause: the error was answered and the connection closed, but the request stayed open in the engine. If it still waited for a connection to a server it failed later, and h11 refused its second response; this unhandled error left the pool in the middle of its waiting attempts.

Change: a rejection ends the open request first.

Evidence: the new test had no response within 8 s before, also on, and passes now; the traceback of LocalProtocolError is gone.

--- a/puffintide/proxy/downstream.py
+++ b/puffintide/proxy/downstream.py
@@ -210,14 +210,14 @@
 
     def _receive_body(self, exchange: HttpExchange, data: bytes) -> None:
         if exchange.body_size + len(data) > self.limits.body_most:
-            self._abandon_exchange()
             raise body_too_large(self.limits.body_most)
         self._set_timeout(self.limits.head_s)
         exchange.receive_body(data, self.limits.replay_most)
 
     def _reject(self, status_code: int, reason: str) -> None:
-        """Send an error response and close the connection."""
+        """End the open request, send an error response and close the connection."""
         self.proxy.count(HttpCounter.REQUESTS_REJECTED)
+        self._abandon_exchange()
         if self.parser.can_respond:
             body = reason.encode() + b"\n"
             self._send(h11.Response(status_code=status_code, headers=error_headers(body)))
--- a/tests/test_hostile_http_clients.py
+++ b/tests/test_hostile_http_clients.py
@@ -35,6 +35,7 @@
 CROWDS: dict[str, Attack] = {
     "heads of short fields, incomplete": lambda port: crowd(port, CROWD, SHORT_FIELDS),
     "heads of short fields": lambda port: crowd(port, CROWD, SHORT_FIELDS + b"content-length: 9\r\n\r\n"),
+    "malformed chunks": lambda port: crowd(port, CROWD, CHUNKED + b"zz\r\n"),
     "heads in many parts": lambda port: crowd(port, CROWD, *[b"GET /a HTTP/1.1\r\n", *[b"x: y\r\n"] * 40]),
     "bodies of one-byte chunks": lambda port: crowd(port, CROWD, CHUNKED + b"1\r\nx\r\n" * 40_000),
     "half of a large body": lambda port: crowd(port, CROWD, HALF_BODY),
