HTTP: trailers of many short fields are bounded as heads are

Callers saw: beside 600 chunked requests with 4,050 trailer fields each, others had no response within 8 s.

Cause: trailers were limited by bytes alone, and h11 parses them at once.

Change: chunked bodies are parsed in parts of 2 KB, and `fields_most` holds for trailer fields.

Evidence: the new case failed before this change and passes now.

--- a/puffintide/proxy/http_request_parser.py
+++ b/puffintide/proxy/http_request_parser.py
@@ -15,6 +15,7 @@
 
 LINE_FEED = b"\n"
 END_OF_HEAD_LENGTH = 3  # Maximum length of what ends a head after its last line: LF, CR, LF.
+MAX_CHUNKED_PART_BYTES = 2048  # Bytes of a chunked body that are parsed at once.
 FIRST_PRINTABLE_BYTE = 0x21  # A head that starts below it is invalid, whatever follows.
 
 
@@ -33,6 +34,7 @@
         self._max_header_fields = max_header_fields
         self._http = self._new_connection()
         self._unparsed = bytearray()
+        self._is_chunked = False  # Whether the body of the current request is chunked.
         self._scanned = 0  # Number of bytes in which no end of a head was found.
 
     def _new_connection(self) -> h11.Connection:
@@ -72,7 +74,7 @@
 
         Raises:
             h11.RemoteProtocolError: The request is malformed.
-            HttpRequestError: The head is too large or has too many fields.
+            HttpRequestError: The head is too large, or head or trailer have too many fields.
         """
         if self.awaits_head:
             head = self._take_head()
@@ -80,13 +82,25 @@
                 return h11.NEED_DATA
             self._http.receive_data(head)
         event = self._http.next_event()
-        if event is h11.NEED_DATA and self._unparsed and self._http.their_state is h11.SEND_BODY:
-            body = bytes(self._unparsed)
-            self._unparsed.clear()
-            self._http.receive_data(body)
+        while event is h11.NEED_DATA and self._unparsed and self._http.their_state is h11.SEND_BODY:
+            self._http.receive_data(self._take_body())
             event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                self._check_field_count(self._http.trailing_data[0])  # Chunk header or trailer fields.
+        if isinstance(event, h11.Request):
+            self._is_chunked = any(name == b"transfer-encoding" for name, _ in event.headers)
         return event
 
+    def _take_body(self) -> bytes:
+        """Remove the next part of the body from the buffer and return it.
+
+        A chunked body may end with trailer fields, which h11 parses as soon as it has them all.
+        """
+        size = MAX_CHUNKED_PART_BYTES if self._is_chunked else len(self._unparsed)
+        part = bytes(self._unparsed[:size])
+        del self._unparsed[:size]
+        return part
+
     def _take_head(self) -> bytes:
         """Remove a complete head from the buffer and return it, or nothing if it is incomplete."""
         if self._unparsed and self._unparsed[0] < FIRST_PRINTABLE_BYTE:
@@ -113,11 +127,14 @@
         """Check the size of a head, and its number of fields, of which each has a line."""
         if length > self._max_head_bytes:
             raise head_too_large(length, self._max_head_bytes)
-        line_count = self._unparsed.count(LINE_FEED, 0, length)
-        if line_count > self._max_header_fields + 2:  # The request line and the empty line are no fields.
+        self._check_field_count(self._unparsed[:length])
+
+    def _check_field_count(self, lines: bytes | bytearray) -> None:
+        # The request line and the empty line are no fields.
+        if lines.count(LINE_FEED) > self._max_header_fields + 2:
             raise HttpRequestError(
                 HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-                f"request head has more than {self._max_header_fields} header fields",
+                f"request has more than {self._max_header_fields} header or trailer fields",
             )
 
     def send(self, event: h11.Event) -> bytes:
--- a/tests/test_hostile_http_clients.py
+++ b/tests/test_hostile_http_clients.py
@@ -26,6 +26,7 @@
 
 CHUNKED = b"POST /p HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
 SHORT_FIELDS = b"POST /a HTTP/1.1\r\nhost: x\r\n" + b"a:\r\n" * 4050
+SHORT_TRAILERS = CHUNKED + b"0\r\n" + b"a:\r\n" * 4050 + b"\r\n"
 HALF_BODY = b"POST /p HTTP/1.1\r\nhost: x\r\ncontent-length: 8000000\r\n\r\n" + b"x" * 200_000
 NEW_KEYS = b"".join(
     b"GET /%d HTTP/1.1\r\nhost: x\r\nx-puffintide-key: k%d\r\n\r\n" % (k, k) for k in range(20_000)
@@ -35,6 +36,7 @@
 CROWDS: dict[str, Attack] = {
     "heads of short fields, incomplete": lambda port: crowd(port, CROWD, SHORT_FIELDS),
     "heads of short fields": lambda port: crowd(port, CROWD, SHORT_FIELDS + b"content-length: 9\r\n\r\n"),
+    "trailers of short fields": lambda port: crowd(port, CROWD, SHORT_TRAILERS),
     "malformed chunks": lambda port: crowd(port, CROWD, CHUNKED + b"zz\r\n"),
     "heads in many parts": lambda port: crowd(port, CROWD, *[b"GET /a HTTP/1.1\r\n", *[b"x: y\r\n"] * 40]),
     "bodies of one-byte chunks": lambda port: crowd(port, CROWD, CHUNKED + b"1\r\nx\r\n" * 40_000),
