--- a/puffintide/proxy/http_request_parser.py
+++ b/puffintide/proxy/http_request_parser.py
@@ -144,6 +144,10 @@
     def start_next_request(self) -> None:
         """Prepare for the next request after both request and response are complete."""
         following = self._http.trailing_data[0]
-        self._http = self._new_connection()
-        self._unparsed[:0] = following
+        if following:  # Only a new connection gives up the bytes that it has buffered.
+            self._http = self._new_connection()
+            self._unparsed[:0] = following
+        else:
+            self._http.start_next_cycle()
+        self._is_chunked = False
         self._scanned = 0
