Keep StreamServerFactory in the module that the review's stand-ins import

review/build-2.sh failed since the split ("cannot import name 'StreamServerFactory'"): review/standin2/writers.py imports it from protocol/stream.py, and review/ stays as it is.

--- a/benchmarks/replication_assigner.py
+++ b/benchmarks/replication_assigner.py
@@ -20,8 +20,7 @@
 from puffintide.protocol import messages as m
 from puffintide.protocol.client import StreamClient
 from puffintide.protocol.clock import monotonic_reactor
-from puffintide.protocol.stream import Stream
-from puffintide.protocol.stream_server import StreamServerFactory
+from puffintide.protocol.stream import Stream, StreamServerFactory
 from puffintide.replication.peer_observations import EndpointListState, LocalFindings
 from puffintide.replication.peer_sessions import PeerSessions
 from puffintide.replication.table_replicas import latest_tables
--- a/puffintide/assigner/service.py
+++ b/puffintide/assigner/service.py
@@ -36,8 +36,7 @@
 from puffintide.protocol.client import StreamClient
 from puffintide.protocol.clock import ConnectingReactor
 from puffintide.protocol.messages import AnyMessage
-from puffintide.protocol.stream import MessageHandler, Stream
-from puffintide.protocol.stream_server import StreamServerFactory
+from puffintide.protocol.stream import MessageHandler, Stream, StreamServerFactory
 from puffintide.replication.peer_sessions import ASSIGNER, PeerSessions
 from puffintide.tls.context import TlsContextFactory
 from puffintide.zones.director import ZonedDirector
--- a/puffintide/emulators/endpoint_list.py
+++ b/puffintide/emulators/endpoint_list.py
@@ -9,8 +9,7 @@
 from puffintide.decisions.events import EndpointStatus
 from puffintide.protocol import messages as m
 from puffintide.protocol.messages import AnyMessage
-from puffintide.protocol.stream import PeerIdentity, Stream
-from puffintide.protocol.stream_server import StreamServerFactory
+from puffintide.protocol.stream import PeerIdentity, Stream, StreamServerFactory
 
 MAX_PENDING_CONNECTIONS = 50
 UNKNOWN_TIME_S = -1.0  # A start time or an age that is not known, also on the wire.
--- a/puffintide/emulators/server.py
+++ b/puffintide/emulators/server.py
@@ -12,8 +12,7 @@
 from puffintide.protocol import messages as m
 from puffintide.protocol.messages import AnyMessage
 from puffintide.protocol.session import Greeting
-from puffintide.protocol.stream import Stream
-from puffintide.protocol.stream_server import StreamServerFactory
+from puffintide.protocol.stream import Stream, StreamServerFactory
 
 MAX_PENDING_CONNECTIONS = 2000
 HEARTBEAT_INTERVAL_S = 30.0
--- a/puffintide/proxy/line_proxy.py
+++ b/puffintide/proxy/line_proxy.py
@@ -9,8 +9,7 @@
 from puffintide.protocol import messages as m
 from puffintide.protocol.messages import AnyMessage, AttemptStatus
 from puffintide.protocol.session import Greeting
-from puffintide.protocol.stream import Stream, close_gracefully
-from puffintide.protocol.stream_server import StreamServerFactory
+from puffintide.protocol.stream import Stream, StreamServerFactory, close_gracefully
 from puffintide.proxy.effects import (
     CancelAttempt,
     CompleteRequest,
--- a/puffintide/proxy/service.py
+++ b/puffintide/proxy/service.py
@@ -11,7 +11,7 @@
 from puffintide.config.model import Config
 from puffintide.config.schema import ProxyProcess
 from puffintide.logs import Logger
-from puffintide.protocol.stream_server import StreamServerFactory
+from puffintide.protocol.stream import StreamServerFactory
 from puffintide.proxy.control_plane import ControlPlane
 from puffintide.proxy.engine import Engine
 from puffintide.proxy.engine_driver import EngineDriver
--- a/puffintide/store/service.py
+++ b/puffintide/store/service.py
@@ -14,8 +14,7 @@
 
 from puffintide.protocol import messages as m
 from puffintide.protocol.clock import Timer
-from puffintide.protocol.stream import PeerIdentity, Stream
-from puffintide.protocol.stream_server import StreamServerFactory
+from puffintide.protocol.stream import PeerIdentity, Stream, StreamServerFactory
 from puffintide.replication.table_restore import TableRestore
 from puffintide.store.commits import CommitQueue, EngineRunner
 from puffintide.store.durable_state import DurableState
