A restarted assigner waits for the write leases that its former process gave

Cause: a migration waited for connected proxies and for those that this process had seen disconnect. A new process had seen none, so it migrated 0.4 s after the kill, while proxies wrote for 1.5 s longer. Proxies that connected while slices drained were neither told to clear them nor waited for.

Change: ProxyLeases counts each proxy that has not connected since a grant as one that has just lost the former owner. A proxy that connects during a migration gets the request to drain as its first update.

One test expected a proxy that reconnects during a migration to get no update and to be waited for by time although it is back. It is replaced by three that are as strict: a proxy that stays away is waited for as long as before, one that comes back clears the slices and is waited for until it has acknowledged, however long that takes. The simulation's proxies now keep their lease over a reconnect.

--- a/puffintide/assigner/handover.py
+++ b/puffintide/assigner/handover.py
@@ -9,8 +9,9 @@
 3. The proxies receive the new weights.
 
 A proxy that disconnects stops accepting writes when its write lease ends, and its writes in flight end
-within the longest deadline of a write. Draining waits for the sum of both times. A proxy that connects
-accepts writes only after its first update, which it gets at once or, during a migration, with step 3.
+within the longest deadline of a write. Draining waits for the sum of both times, also for proxies that have not
+connected since the slices were granted. A proxy that connects during a migration clears its tables as well, and
+draining waits for its acknowledgement.
 
 Draining ends after max_drain_s at the latest, as a slice may not be without a server for longer. A server may
 then still execute a write for a client that has given up. Withdrawals and admission levels are never delayed.
@@ -24,6 +25,7 @@
 
 import msgspec
 
+from puffintide.assigner.proxy_leases import ProxyLeases
 from puffintide.decisions.settings import RepeatSafety, Settings
 from puffintide.protocol.messages import ProxyUpdate, WeightEntry
 
@@ -69,7 +71,6 @@
         checkpoint_id: The checkpoint that proxies acknowledge when they have drained the slices.
         unacknowledged: Ids of the proxies that have not acknowledged the checkpoint.
         drain_deadline: When draining ends even if it is not complete.
-        disconnected_drained_at: When proxies that disconnected have no writes in flight any more.
         stage: The current stage.
     """
 
@@ -79,7 +80,6 @@
     checkpoint_id: int = 0
     unacknowledged: set[int] = field(default_factory=set)
     drain_deadline: float = 0.0
-    disconnected_drained_at: float = 0.0
     stage: _Stage = _Stage.DRAINING
 
     @property
@@ -87,6 +87,16 @@
         """Return the ids of the slices that migrate, in ascending order."""
         return sorted({entry.slice_id for entry in self.weights})
 
+    def drain_request(self, update: ProxyUpdate) -> ProxyUpdate:
+        """Return an update with the request to drain the slices added."""
+        slice_ids = self.slice_ids
+        return msgspec.structs.replace(
+            update,
+            cleared_slices=slice_ids,
+            checkpoint_id=self.checkpoint_id,
+            channel_cost=update.channel_cost + len(slice_ids) + 1,
+        )
+
     def merged_with(self, later: _Migration) -> _Migration:
         """Return one migration for both; the later weights replace those of a slice that both migrate."""
         replaced = set(later.slice_ids)
@@ -99,51 +109,59 @@
     """Runs the migrations of one assigner.
 
     Attributes:
-        write_lease_s: Time after which a proxy that lost its assigner takes no writes, in seconds.
-        max_write_deadline_s: Longest deadline of a write, in seconds.
+        proxy_leases: The connected proxies, and the leases that other proxies may hold.
         max_drain_s: Maximum time to wait for writes in flight, in seconds.
         header_entries: Entries that a message costs on the channel in addition to its content.
-        proxies: Ids of the connected proxies.
         migrations: Migrations in the order of their batches; only the first is in progress.
     """
 
-    def __init__(
-        self, write_lease_s: float, max_write_deadline_s: float, max_drain_s: float, header_entries: float
-    ) -> None:
-        self.write_lease_s = write_lease_s
-        self.max_write_deadline_s = max_write_deadline_s
+    def __init__(self, proxy_leases: ProxyLeases, max_drain_s: float, header_entries: float) -> None:
+        self.proxy_leases = proxy_leases
         self.max_drain_s = max_drain_s
         self.header_entries = header_entries
-        self.proxies: set[int] = set()
         self.migrations: deque[_Migration] = deque()
         self._last_checkpoint_id = FIRST_CHECKPOINT_ID
-        self._disconnected_at: dict[int, float] = {}
+
+    @property
+    def proxies(self) -> set[int]:
+        """Return the ids of the connected proxies."""
+        return self.proxy_leases.connected
 
     # Input ----------------------------------------------------------------------------------------
 
     def on_proxy_connected(self, now: float, proxy_id: int) -> HandoverSteps:
-        """Add a proxy, which takes writes after its first update.
+        """Add a proxy, which accepts writes after its first update.
 
-        The update is sent at once, or with the new weights if a migration is in progress.
+        The update is sent at once. During a migration it clears the tables of the slices that migrate.
         """
-        self.proxies.add(proxy_id)
-        self._disconnected_at.pop(proxy_id, None)
-        if self.migrations:
-            return HandoverSteps()
-        return HandoverSteps(proxy_updates=[(proxy_id, ProxyUpdate(0, now, self.header_entries))])
+        self.proxy_leases.on_connected(proxy_id)
+        if not self.migrations:
+            return HandoverSteps(proxy_updates=[(proxy_id, ProxyUpdate(0, now, self.header_entries))])
+        migration = self.migrations[0]
+        if migration.stage is _Stage.DRAINING:
+            migration.unacknowledged.add(proxy_id)
+        update = ProxyUpdate(migration.batch, now, self.header_entries)
+        return HandoverSteps(proxy_updates=[(proxy_id, migration.drain_request(update))])
 
     def on_proxy_disconnected(self, now: float, proxy_id: int) -> HandoverSteps:
         """Remove a proxy; draining waits until the writes that it may have in flight have ended."""
-        self.proxies.discard(proxy_id)
-        self._disconnected_at[proxy_id] = now
-        if self.migrations and proxy_id in self.migrations[0].unacknowledged:
-            migration = self.migrations[0]
-            migration.unacknowledged.discard(proxy_id)
-            migration.disconnected_drained_at = max(
-                migration.disconnected_drained_at, now + self._disconnected_drain_s
-            )
+        self.proxy_leases.on_disconnected(now, proxy_id)
+        if self.migrations:
+            self.migrations[0].unacknowledged.discard(proxy_id)
         return self.advance(now)
 
+    def on_slice_granted(self, now: float, slice_id: int, has_server: bool) -> None:
+        """Begin a tenure of a slice.
+
+        Args:
+            now: The current time, in seconds.
+            slice_id: The id of the slice.
+            has_server: Whether proxies may send writes to a server under leases of the former owner.
+        """
+        self.drop_slice(slice_id)
+        if has_server:
+            self.proxy_leases.on_slice_granted(now, slice_id)
+
     def add_batch(
         self, now: float, batch: int, weights: list[WeightEntry], updates: AddressedUpdates
     ) -> HandoverSteps:
@@ -213,7 +231,8 @@
         steps = HandoverSteps()
         if self.migrations and self.migrations[0].stage is _Stage.DRAINING:
             migration = self.migrations[0]
-            drained = not migration.unacknowledged and now >= migration.disconnected_drained_at
+            writes_end_at = self.proxy_leases.writes_end_at(migration.slice_ids)
+            drained = not migration.unacknowledged and now >= writes_end_at
             if drained or now >= migration.drain_deadline:
                 migration.stage = _Stage.STORING
                 steps.writes.append((migration.batch, migration.weights))
@@ -221,11 +240,6 @@
 
     # Stages ---------------------------------------------------------------------------------------
 
-    @property
-    def _disconnected_drain_s(self) -> float:
-        """Return how long a disconnected proxy may have writes in flight, in seconds."""
-        return self.write_lease_s + self.max_write_deadline_s
-
     def _begin_draining(self, now: float, immediate: dict[int, ProxyUpdate]) -> AddressedUpdates:
         """Merge all pending migrations into one, and begin to drain its slices.
 
@@ -237,25 +251,10 @@
         migration.checkpoint_id = self._last_checkpoint_id
         migration.unacknowledged = set(self.proxies)
         migration.drain_deadline = now + self.max_drain_s
-        recent = [
-            disconnected_at
-            for disconnected_at in self._disconnected_at.values()
-            if now - disconnected_at < self._disconnected_drain_s
-        ]
-        migration.disconnected_drained_at = max(
-            (disconnected_at + self._disconnected_drain_s for disconnected_at in recent), default=0.0
-        )
-        slice_ids = migration.slice_ids
         updates: AddressedUpdates = []
         for proxy_id in sorted(self.proxies):
             update = immediate.get(proxy_id, ProxyUpdate(migration.batch, now, self.header_entries))
-            drain_request = msgspec.structs.replace(
-                update,
-                cleared_slices=slice_ids,
-                checkpoint_id=migration.checkpoint_id,
-                channel_cost=update.channel_cost + len(slice_ids) + 1,
-            )
-            updates.append((proxy_id, drain_request))
+            updates.append((proxy_id, migration.drain_request(update)))
         return updates
 
     def _merge_pending(self) -> _Migration:
@@ -326,7 +325,8 @@
         default=0.0,
     )
     max_drain_s = min(max_write_deadline_s, MAX_DRAIN_FRACTION * settings.max_unserved_s)
-    return Handover(write_lease_s, max_write_deadline_s, max_drain_s, settings.channel_header_entries)
+    proxy_leases = ProxyLeases(write_lease_s, max_write_deadline_s, settings.proxy_count)
+    return Handover(proxy_leases, max_drain_s, settings.channel_header_entries)
 
 
 def with_handover_budget(settings: Settings) -> Settings:
--- a/puffintide/assigner/store_client.py
+++ b/puffintide/assigner/store_client.py
@@ -145,7 +145,7 @@
             tenure_continues = ownership.slice_id in continued_ids
             self.owned_tables.on_ownership_granted(ownership, tenure_continues)
             if not tenure_continues and self.handover is not None:
-                self.handover.drop_slice(ownership.slice_id)
+                self.handover.on_slice_granted(now, ownership.slice_id, bool(ownership.entries))
         self._repeat_writes(continued)
 
     def _repeat_writes(self, ownerships: list[m.SliceOwnership]) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -11,9 +11,12 @@
 import pytest
 
 from puffintide.assigner.handover import FIRST_CHECKPOINT_ID, Handover, HandoverSteps
+from puffintide.assigner.proxy_leases import ProxyLeases
 from puffintide.protocol.messages import ProxyUpdate, WeightEntry
 
 WRITE_LEASE_S, MAX_WRITE_DEADLINE_S = 1.0, 2.0
+PROXY_COUNT = 3
+MAX_WRITE_DURATION_S = WRITE_LEASE_S + MAX_WRITE_DEADLINE_S
 
 
 def weight_entry(slice_id: int, server: int, token: int = 1) -> WeightEntry:
@@ -36,8 +39,12 @@
     )
 
 
+def new_handover(max_drain_s: float, proxy_count: int) -> Handover:
+    return Handover(ProxyLeases(WRITE_LEASE_S, MAX_WRITE_DEADLINE_S, proxy_count), max_drain_s, 2.0)
+
+
 def connected_handover(max_drain_s: float = 10.0) -> Handover:
-    handover = Handover(WRITE_LEASE_S, MAX_WRITE_DEADLINE_S, max_drain_s, 2.0)
+    handover = new_handover(max_drain_s, proxy_count=2)
     for proxy in (0, 1):
         handover.on_proxy_connected(0.0, proxy)
     return handover
@@ -111,17 +118,63 @@
     )
 
 
-def test_migration_waits_for_disconnected_proxy_and_new_proxy_receives_weights_first() -> None:
+def test_migration_waits_for_disconnected_proxy_until_its_writes_have_ended() -> None:
     handover = connected_handover()
     steps = handover.add_batch(1.0, *batch(5, [weight_entry(3, 8)], [0, 1]))
     handover.on_checkpoint_reply(1.1, 0, steps.proxy_updates[0][1].checkpoint_id or 0)
     assert handover.on_proxy_disconnected(1.2, 1).writes == []
-    assert handover.on_proxy_connected(1.5, 1).proxy_updates == []  # Its first update has the weights.
-    assert handover.advance(1.2 + WRITE_LEASE_S + MAX_WRITE_DEADLINE_S - 0.01).writes == []
-    assert handover.advance(1.2 + WRITE_LEASE_S + MAX_WRITE_DEADLINE_S).writes != []
-    assert servers_by_proxy(handover.on_write_acknowledged(4.5, 5)) == {0: [8], 1: [8]}
+    assert handover.advance(1.2 + MAX_WRITE_DURATION_S - 0.01).writes == []
+    assert handover.advance(1.2 + MAX_WRITE_DURATION_S).writes != []
+    assert servers_by_proxy(handover.on_write_acknowledged(4.5, 5)) == {0: [8]}
     # No migration is in progress, so a new proxy is updated at once.
-    assert [proxy for proxy, _ in handover.on_proxy_connected(5.0, 2).proxy_updates] == [2]
+    new_proxy_updates = handover.on_proxy_connected(5.0, 2).proxy_updates
+    assert [(proxy, update.cleared_slices) for proxy, update in new_proxy_updates] == [(2, [])]
+
+
+# Guards against writes to the former server by a proxy that connects during a migration.
+def test_migration_waits_for_the_acknowledgement_of_a_proxy_that_connects_while_it_drains() -> None:
+    handover = connected_handover()
+    steps = handover.add_batch(1.0, *batch(5, [weight_entry(3, 8)], [0, 1]))
+    handover.on_proxy_disconnected(1.1, 1)
+    ((proxy, update),) = handover.on_proxy_connected(1.2, 1).proxy_updates
+    assert (proxy, update.cleared_slices, update.weights) == (1, [3], [])
+    assert update.checkpoint_id == steps.proxy_updates[0][1].checkpoint_id
+    assert handover.on_checkpoint_reply(1.3, 0, update.checkpoint_id or 0).writes == []
+    assert handover.advance(9.0).writes == []
+    assert handover.on_checkpoint_reply(9.1, 1, update.checkpoint_id or 0).writes != []
+    # A proxy that connects while the weights are stored receives them with the others, after its first update.
+    ((_, late_update),) = handover.on_proxy_connected(9.2, 2).proxy_updates
+    assert (late_update.cleared_slices, late_update.weights) == ([3], [])
+    assert servers_by_proxy(handover.on_write_acknowledged(9.3, 5)) == {0: [8], 1: [8], 2: [8]}
+
+
+# Guards against a new owner that ignores the leases which the former owner, or its own former process, granted.
+def test_first_migration_after_a_grant_waits_for_proxies_that_have_not_connected() -> None:
+    handover = new_handover(10.0, proxy_count=2)
+    handover.on_proxy_connected(0.9, 0)
+    handover.on_slice_granted(1.0, 3, has_server=True)
+    ((_, update),) = handover.add_batch(1.1, *batch(5, [weight_entry(3, 8)], [0])).proxy_updates
+    assert handover.on_checkpoint_reply(1.2, 0, update.checkpoint_id or 0).writes == []
+    assert handover.advance(1.0 + MAX_WRITE_DURATION_S - 0.01).writes == []
+    assert handover.advance(1.0 + MAX_WRITE_DURATION_S).writes != []
+
+
+def test_first_migration_after_a_grant_continues_once_all_proxies_have_acknowledged() -> None:
+    handover = new_handover(10.0, proxy_count=2)
+    handover.on_proxy_connected(0.9, 0)
+    handover.on_slice_granted(1.0, 3, has_server=True)
+    ((_, update),) = handover.add_batch(1.1, *batch(5, [weight_entry(3, 8)], [0])).proxy_updates
+    handover.on_checkpoint_reply(1.2, 0, update.checkpoint_id or 0)
+    handover.on_proxy_connected(1.3, 1)
+    assert handover.on_checkpoint_reply(1.4, 1, update.checkpoint_id or 0).writes != []
+
+
+def test_slice_without_a_server_is_assigned_one_without_waiting() -> None:
+    handover = new_handover(10.0, proxy_count=2)
+    handover.on_proxy_connected(0.9, 0)
+    handover.on_slice_granted(1.0, 3, has_server=False)
+    ((_, update),) = handover.add_batch(1.1, *batch(5, [weight_entry(3, 8)], [0])).proxy_updates
+    assert handover.on_checkpoint_reply(1.2, 0, update.checkpoint_id or 0).writes != []
 
 
 def test_draining_ends_at_its_deadline_and_weights_wait_for_an_unreachable_store() -> None:
@@ -153,10 +206,12 @@
         max_servers: Highest number of servers that executed writes at the same time.
     """
 
-    def __init__(self, seed: int, max_drain_s: float = 50.0) -> None:
+    def __init__(self, seed: int, max_drain_s: float = 50.0, restart_probability: float = 0.0) -> None:
         self.rng = random.Random(seed)
+        self.restart_probability = restart_probability  # In each step of a run.
         self.now = 0.0
-        self.handover = Handover(WRITE_LEASE_S, MAX_WRITE_DEADLINE_S, max_drain_s, 2.0)
+        self.max_drain_s = max_drain_s
+        self.handover = new_handover(max_drain_s, PROXY_COUNT)
         self.table: dict[int, int | None] = {}
         self.writable_until: dict[int, float] = {}
         self.writes: list[tuple[int, int, float]] = []
@@ -196,7 +251,7 @@
     def run(self) -> int:
         self.incarnation = {}
         batches = 0
-        for proxy in range(3):
+        for proxy in range(PROXY_COUNT):
             self.incarnation[proxy] = 1
             self.table[proxy] = self.stored
             self.apply_steps(self.handover.on_proxy_connected(self.now, proxy))
@@ -232,6 +287,8 @@
                 )
             if self.rng.random() < 0.004 and self.connected:
                 self.disconnect(self.rng.choice(self.connected))
+            if self.rng.random() < self.restart_probability:
+                self.restart_assigner()
             self.writes = [write for write in self.writes if write[2] > self.now]
             servers = {server for _, server, _ in self.writes}
             self.max_servers = max(self.max_servers, len(servers))
@@ -248,6 +305,17 @@
         self.apply_steps(self.handover.on_proxy_disconnected(self.now, proxy))
         self.send("reconnect", proxy, 4.0)
 
+    def restart_assigner(self) -> None:
+        """Replace the assigner by a new process, which is granted the slice and knows no proxies."""
+        former_proxies = self.connected
+        self.messages = [message for message in self.messages if message[2] in ("update", "reconnect")]
+        self.handover = new_handover(self.max_drain_s, PROXY_COUNT)
+        for proxy in former_proxies:
+            self.incarnation[proxy] += 1
+            self.writable_until[proxy] = min(self.writable_until.get(proxy, 0.0), self.now + WRITE_LEASE_S)
+            self.send("reconnect", proxy, 4.0)
+        self.handover.on_slice_granted(self.now, 0, has_server=True)
+
     def deliver(self, message_type: str, content: Any) -> None:
         match message_type:
             case "write":
@@ -259,7 +327,6 @@
             case "reconnect":
                 assert isinstance(content, int)
                 self.table[content] = self.stored
-                self.writable_until[content] = 0.0
                 self.apply_steps(self.handover.on_proxy_connected(self.now, content))
             case "checkpoint_reply":
                 self.deliver_checkpoint_reply(*content)
@@ -293,6 +360,14 @@
     assert simulation.max_servers == 1
 
 
+# Guards against a restarted assigner that does not wait for the proxies of its former process.
+@pytest.mark.parametrize("seed", range(25))
+def test_no_two_servers_execute_writes_at_once_if_the_assigner_restarts(seed: int) -> None:
+    simulation = Simulation(seed, restart_probability=0.005)
+    assert simulation.run() > 5
+    assert simulation.max_servers == 1
+
+
 def test_without_draining_two_servers_would_execute_writes_at_once() -> None:
     simulations = [Simulation(seed, max_drain_s=0.0) for seed in range(10)]
     for simulation in simulations:
