A write that waits for its server's connection delays a migration's checkpoint

The proxy had picked the former server before the slice was cleared, acknowledged the checkpoint, and sent the write once the connection to the server stood.

Cause: has_writes_in_flight counted only attempts that had been sent.

Change: an attempt that has a server counts; one that is queued without a server does not, as it is dispatched by the table then in force. This works as only dispatch() picks a server, and by then the table is cleared.

--- a/puffintide/proxy/engine.py
+++ b/puffintide/proxy/engine.py
@@ -119,10 +119,14 @@
             self.requests[attempt_id].attempt_number = max(MAX_RETRIES.values())
 
     def has_writes_in_flight(self, slice_ids: Iterable[int]) -> bool:
-        """Return whether a write to any of these slices is in flight."""
+        """Return whether a write to any of these slices was sent, or will be once its server is connected."""
         wanted = set(slice_ids)
-        in_flight = (r for r in self.requests.values() if r.sent_at_s is not None)
-        return any(r.slice_id in wanted and not self.dispatcher.is_idempotent(r) for r in in_flight)
+        return any(
+            request.slice_id in wanted
+            and attempt_id not in self.dispatcher.queued
+            and not self.dispatcher.is_idempotent(request)
+            for attempt_id, request in self.requests.items()
+        )
 
     def _admits(self, assigner_id: int, slice_id: int, class_index: int) -> bool:
         limit = self.tables.admission_limit(slice_id, class_index)
--- a/tests/test_proxy_engine.py
+++ b/tests/test_proxy_engine.py
@@ -248,3 +248,17 @@
         assert not engine.has_writes_in_flight([1])
     engine.on_timer(60.0)
     assert not engine.has_writes_in_flight([0])
+
+
+# Guards against a write that is sent to a slice's former server after the proxy has acknowledged the migration.
+def test_write_that_waits_for_the_connection_to_its_server_is_in_flight() -> None:
+    engine = create_engine(servers=1, single_writer=True, queue_timeout_s=1.0)
+    assert engine.on_request(9.0, 1, 1, 0, IDEMPOTENCY_KEY, 4.0) == []
+    assert not engine.has_writes_in_flight([0])  # It is queued without a server, as there is no lease.
+    (connect,) = effects_of_type(engine.on_proxy_update(9.5, 0, m.ProxyUpdate(1, 0.0, 1.0)), ConnectServer)
+    engine.on_proxy_update(9.6, 0, m.ProxyUpdate(2, 0.0, 1.0, cleared_slices=[0]))
+    assert engine.has_writes_in_flight([0])
+    (send,) = effects_of_type(engine.on_server_connected(9.7, connect.server_id), SendAttempt)
+    assert engine.has_writes_in_flight([0])
+    engine.on_response(9.8, connect.server_id, send.attempt_id, m.AttemptStatus.OK, [])
+    assert not engine.has_writes_in_flight([0])
--- a/tests/test_single_writer_faults.py
+++ b/tests/test_single_writer_faults.py
@@ -55,3 +55,10 @@
     restart = process_steps("kill", FAULT_AT_S, "start", RESTARTED_AT_S, "assigner:0")
     faults = drain_faults(FAULT_AT_S + 0.1, 1, 2, 4)
     assert_rules_hold(deployment_with_long_writes(tmp_path, seed, faults, restart))
+
+
+# Guards against a write that leaves for the former server once the proxy's connection to it is established.
+def test_write_that_waits_for_a_connection_delays_the_migration(tmp_path: Path) -> None:
+    restart = process_steps("kill", FAULT_AT_S, "start", RESTARTED_AT_S, "assigner:0")
+    faults = drain_faults(FAULT_AT_S + 0.1, 1, 2, 4)
+    assert_rules_hold(deployment_with_long_writes(tmp_path, 14, faults, restart))
