Requests to clear a slice carry its fencing token

Cause: the clear of a migration was the only change of a table without a token. A continued assigner cleared slices under its former grant after proxies had received the new one, then dropped the migration. In the other order, a proxy that had cleared a slice took the stored table of a new tenure for a newer one.

Change: ProxyUpdate.cleared_tokens; a proxy ignores an older token and adopts a newer one. Optional on the wire. Tokens that are negative or not one for each slice are rejected with the update.

The second order was seen in a unit test alone.

--- a/puffintide/assigner/handover.py
+++ b/puffintide/assigner/handover.py
@@ -90,9 +90,11 @@
     def drain_request(self, update: ProxyUpdate) -> ProxyUpdate:
         """Return an update with the request to drain the slices added."""
         slice_ids = self.slice_ids
+        tokens = {entry.slice_id: entry.fencing_token for entry in self.weights}
         return msgspec.structs.replace(
             update,
             cleared_slices=slice_ids,
+            cleared_tokens=[tokens[slice_id] for slice_id in slice_ids],
             checkpoint_id=self.checkpoint_id,
             channel_cost=update.channel_cost + len(slice_ids) + 1,
         )
@@ -295,6 +297,7 @@
             update,
             weights=[],
             cleared_slices=[],
+            cleared_tokens=[],
             checkpoint_id=None,
             channel_cost=self.header_entries + entry_count,
         )
--- a/puffintide/protocol/messages/proxy_channel.py
+++ b/puffintide/protocol/messages/proxy_channel.py
@@ -41,6 +41,7 @@
         "readmitted_servers": "back",
         "admission_levels": "levels",
         "checkpoint_id": "mark",
+        "cleared_tokens": "clear_tokens",
     },
 ):
     """Set of changes from an assigner that a proxy applies atomically."""
@@ -58,6 +59,8 @@
     readmitted_servers: list[int] = field(default_factory=list)
     admission_levels: list[AdmissionLevel] = field(default_factory=list)
     checkpoint_id: int | None = None  # Checkpoint that the proxy confirms with a CheckpointReply.
+    # Fencing token of the ownership of each slice in cleared_slices, in the same order; empty if not given.
+    cleared_tokens: list[int] = field(default_factory=list)
 
 
 class CheckpointReply(Message, tag="applied", frozen=True, rename={"checkpoint_id": "mark"}):
--- a/puffintide/protocol/validation.py
+++ b/puffintide/protocol/validation.py
@@ -93,7 +93,20 @@
             return f"slice {level.slice_id}: retry mode {level.retry_mode} is not from 0 to {MAX_RETRY_MODE}"
         if not 0 <= level.fraction <= MAX_WEIGHT:
             return f"slice {level.slice_id}: fraction {level.fraction:g} is not from 0 to {MAX_WEIGHT:g}"
-    return weights_problem(update.weights)
+    return _cleared_tokens_problem(update) or weights_problem(update.weights)
+
+
+def _cleared_tokens_problem(update: ProxyUpdate) -> str | None:
+    """Check that there are either no tokens of cleared slices or a valid one for each."""
+    tokens, slice_ids = update.cleared_tokens, update.cleared_slices
+    if not tokens:
+        return None
+    if len(tokens) != len(slice_ids):
+        return f"{len(tokens)} fencing tokens of {len(slice_ids)} cleared slices"
+    for slice_id, token in zip(slice_ids, tokens, strict=True):
+        if token < 0:
+            return f"cleared slice {slice_id}: fencing token {token} is negative"
+    return None
 
 
 def usage_report_problem(report: UsageReport, slice_count: int, class_count: int) -> str | None:
--- a/puffintide/proxy/weight_tables.py
+++ b/puffintide/proxy/weight_tables.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import zip_longest
 
 from puffintide.protocol.messages import ProxyUpdate, SliceOwnership, TableEntry, WeightEntry
 from puffintide.proxy.admission import AdmissionLevels
@@ -191,8 +192,8 @@
 
     def apply_update(self, assigner_id: int, update: ProxyUpdate) -> None:
         """Apply all changes of an assigner's update."""
-        for slice_id in update.cleared_slices:
-            self._clear_slice(assigner_id, slice_id, update.batch)
+        for slice_id, token in zip_longest(update.cleared_slices, update.cleared_tokens):
+            self._clear_slice(assigner_id, slice_id, token, update.batch)
         for entry in update.weights:
             self._apply_weight(assigner_id, entry, update.batch)
         if update.withdrawn_servers or update.readmitted_servers:
@@ -205,15 +206,32 @@
         self.version += 1
         self._evict_unused_servers()
 
-    def _clear_slice(self, assigner_id: int, slice_id: int, batch: int) -> None:
+    def _clear_slice(self, assigner_id: int, slice_id: int, fencing_token: int | None, batch: int) -> None:
+        """Remove all weights of a slice, unless the assigner has lost its ownership.
+
+        Without a token, only the owner that is known here may do so.
+        """
         table = self.slices.get(slice_id)
-        if table is None or table.owner_id != assigner_id:
+        if table is None or not self._adopt_clearing_owner(table, assigner_id, fencing_token):
             return
         table.weights.clear()
+        table.early_weights = None
         table.invalidate_balancers()
         table.batch = batch
         self.levels.clear_slice(assigner_id, slice_id)
 
+    def _adopt_clearing_owner(self, table: SliceTable, assigner_id: int, fencing_token: int | None) -> bool:
+        """Adopt the token with which a slice is cleared, and return whether it is the current one."""
+        if fencing_token is None:
+            return table.owner_id == assigner_id
+        if fencing_token < table.fencing_token:
+            self.stale_entries_dropped += 1
+            return False
+        self.highest_token = max(self.highest_token, fencing_token)
+        if fencing_token > table.fencing_token:
+            table.adopt_newer_token(assigner_id, fencing_token)
+        return True
+
     def _apply_weight(self, assigner_id: int, entry: WeightEntry, batch: int) -> None:
         table = self.slices.get(entry.slice_id)
         if table is None or entry.fencing_token < table.fencing_token:
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -41,6 +41,9 @@
     "level": m.ProxyUpdate(9, 0.0, 13.0, admission_levels=[m.AdmissionLevel(0xFFFF, 0, -1.0, 0)]),
     "weight": m.ProxyUpdate(9, 0.0, 13.0, weights=[m.WeightEntry(0, 1, -2.0, 99)]),
     "address": m.ProxyUpdate(9, 0.0, 13.0, weights=[m.WeightEntry(0, 1, 1.0, 99, "127.0.0.1:http")]),
+    "number of tokens": m.ProxyUpdate(9, 0.0, 13.0, cleared_slices=[998, 999], cleared_tokens=[99]),
+    "tokens without slices": m.ProxyUpdate(9, 0.0, 13.0, cleared_tokens=[99]),
+    "negative token": m.ProxyUpdate(9, 0.0, 13.0, cleared_slices=[0], cleared_tokens=[-1]),
 }
 
 
--- a/tests/test_proxy_weight_tables.py
+++ b/tests/test_proxy_weight_tables.py
@@ -76,3 +76,39 @@
     assert tables.available_weights(0) == {1: 1.0}
     tables.apply_ownership(m.SliceOwnership(0, 1, 0, older_ownership.entries, 6))
     assert tables.available_weights(0) == {0: 1.0}
+
+
+STORED_ENTRIES = [m.TableEntry(0, 1.0, "127.0.0.1:0")]
+
+
+def tables_with_cleared_slice(token: int) -> WeightTables:
+    """Return tables whose slice 0, under token 1 of assigner 0, was cleared by assigner 1 under a token."""
+    tables = create_engine(servers=1, single_writer=True).tables
+    tables.apply_update(1, m.ProxyUpdate(3, 0.0, 1.0, cleared_slices=[0], cleared_tokens=[token]))
+    return tables
+
+
+# Guards against a proxy that acknowledges a migration and is then sent the former server by the store.
+def test_ownership_received_after_its_slice_was_cleared_does_not_restore_the_weights() -> None:
+    tables = tables_with_cleared_slice(7)
+    tables.apply_ownership(m.SliceOwnership(0, 7, 1, STORED_ENTRIES, 0, 7))
+    assert tables.available_weights(0) == {}
+    assert tables.owner_of(0) == 1
+    # What the store has committed since replaces the cleared table.
+    tables.apply_ownership(m.SliceOwnership(0, 7, 1, STORED_ENTRIES, 3, 7))
+    assert tables.available_weights(0) == {0: 1.0}
+
+
+# Guards against a slice that a former owner empties for good.
+def test_clear_with_an_old_token_is_ignored() -> None:
+    tables = tables_with_cleared_slice(0)
+    assert tables.available_weights(0) == {0: 1.0}
+    assert tables.stale_entries_dropped == 1
+
+
+def test_clear_without_a_token_is_accepted_from_the_known_owner_alone() -> None:
+    tables = create_engine(servers=1, single_writer=True).tables
+    tables.apply_update(1, m.ProxyUpdate(3, 0.0, 1.0, cleared_slices=[0]))
+    assert tables.available_weights(0) == {0: 1.0}
+    tables.apply_update(0, m.ProxyUpdate(3, 0.0, 1.0, cleared_slices=[0]))
+    assert tables.available_weights(0) == {}
--- a/tests/test_single_writer_faults.py
+++ b/tests/test_single_writer_faults.py
@@ -62,3 +62,10 @@
     restart = process_steps("kill", FAULT_AT_S, "start", RESTARTED_AT_S, "assigner:0")
     faults = drain_faults(FAULT_AT_S + 0.1, 1, 2, 4)
     assert_rules_hold(deployment_with_long_writes(tmp_path, 14, faults, restart))
+
+
+# Guards against slices that stay empty after an assigner, stopped and continued, cleared them as a former owner.
+def test_continued_assigner_empties_no_slice_that_it_was_granted_anew(tmp_path: Path) -> None:
+    stop = process_steps("stop", FAULT_AT_S, "wake", 11, "assigner:0")
+    faults = {"drain": fault("deploy", FAULT_AT_S + 0.2, 5, servers="1, 2", size=1, extra=9)}
+    assert_rules_hold(deployment_with_long_writes(tmp_path, 3, faults, stop))
