Slices of a draining server no longer wait for another migration to end

Cause: migrations ran one at a time, so slices kept the draining server until the migration before them had waited for its writes.

Change: migrations drain at the same time and are stored in order of batches. A slice that drains already only gets its new target. New ones wait while weights are being stored. A migration's state moves to migration.py.

Changed tests: one that expected a batch to wait for the one before it is replaced by two: batches drain together and are stored in order; batches that arrive while weights are stored are merged, with the former assertions. The simulation has three slices, and its proxies read the store as real ones do, ignoring older tables.

--- a/puffintide/assigner/handover.py
+++ b/puffintide/assigner/handover.py
@@ -1,6 +1,6 @@
 """Migration of slices that have a single writer: no two servers execute writes of a slice concurrently.
 
-The module does no I/O, and the caller passes the time. Migrations run one at a time, in three steps:
+The module does no I/O, and the caller passes the time. A migration takes three steps:
 
 1. Draining: every proxy clears the tables of the slices. It acknowledges a checkpoint once it has no more
    writes in flight there.
@@ -8,6 +8,10 @@
    servers.
 3. The proxies receive the new weights.
 
+Migrations drain at the same time, so that no draining server has to wait for another one's slices, and are stored
+in the order of their batches. New ones wait while weights are being stored, since that lasts while the store is
+unreachable, and slices without a server are worse off than those that still have the former one.
+
 A proxy that disconnects stops accepting writes when its write lease ends, and its writes in flight end
 within the longest deadline of a write. Draining waits for the sum of both times, also for proxies that have not
 connected since the slices were granted. A proxy that connects during a migration clears its tables as well, and
@@ -21,10 +25,10 @@
 
 from collections import deque
 from dataclasses import dataclass, field, replace
-from enum import Enum, auto
 
 import msgspec
 
+from puffintide.assigner.migration import AddressedUpdates, Migration, Stage
 from puffintide.assigner.proxy_leases import ProxyLeases
 from puffintide.decisions.settings import RepeatSafety, Settings
 from puffintide.protocol.messages import ProxyUpdate, WeightEntry
@@ -36,9 +40,6 @@
 # Messages that a batch sends to each proxy, where the decision module counts one.
 MESSAGES_PER_BATCH = 2
 
-# Updates with the ids of the proxies that receive them.
-AddressedUpdates = list[tuple[int, ProxyUpdate]]
-
 
 @dataclass(slots=True)
 class HandoverSteps:
@@ -53,60 +54,6 @@
     writes: list[tuple[int, list[WeightEntry]]] = field(default_factory=list)
 
 
-class _Stage(Enum):
-    """The stage of a migration; sending the new weights completes it and needs no stage of its own."""
-
-    DRAINING = auto()
-    STORING = auto()
-
-
-@dataclass(slots=True)
-class _Migration:
-    """The migration of the slices of one batch, or of several merged batches.
-
-    Attributes:
-        batch: Number of the batch, the last one of merged batches.
-        weights: The new weights of the slices.
-        deferred_updates: Updates that are sent once the weights are stored.
-        checkpoint_id: The checkpoint that proxies acknowledge when they have drained the slices.
-        unacknowledged: Ids of the proxies that have not acknowledged the checkpoint.
-        drain_deadline: When draining ends even if it is not complete.
-        stage: The current stage.
-    """
-
-    batch: int
-    weights: list[WeightEntry]
-    deferred_updates: AddressedUpdates
-    checkpoint_id: int = 0
-    unacknowledged: set[int] = field(default_factory=set)
-    drain_deadline: float = 0.0
-    stage: _Stage = _Stage.DRAINING
-
-    @property
-    def slice_ids(self) -> list[int]:
-        """Return the ids of the slices that migrate, in ascending order."""
-        return sorted({entry.slice_id for entry in self.weights})
-
-    def drain_request(self, update: ProxyUpdate) -> ProxyUpdate:
-        """Return an update with the request to drain the slices added."""
-        slice_ids = self.slice_ids
-        tokens = {entry.slice_id: entry.fencing_token for entry in self.weights}
-        return msgspec.structs.replace(
-            update,
-            cleared_slices=slice_ids,
-            cleared_tokens=[tokens[slice_id] for slice_id in slice_ids],
-            checkpoint_id=self.checkpoint_id,
-            channel_cost=update.channel_cost + len(slice_ids) + 1,
-        )
-
-    def merged_with(self, later: _Migration) -> _Migration:
-        """Return one migration for both; the later weights replace those of a slice that both migrate."""
-        replaced = set(later.slice_ids)
-        remaining = [entry for entry in self.weights if entry.slice_id not in replaced]
-        updates = sorted((dict(self.deferred_updates) | dict(later.deferred_updates)).items())
-        return _Migration(later.batch, remaining + later.weights, updates)
-
-
 class Handover:
     """Runs the migrations of one assigner.
 
@@ -114,14 +61,15 @@
         proxy_leases: The connected proxies, and the leases that other proxies may hold.
         max_drain_s: Maximum time to wait for writes in flight, in seconds.
         header_entries: Entries that a message costs on the channel in addition to its content.
-        migrations: Migrations in the order of their batches; only the first is in progress.
+        migrations: Migrations in the order of their batches: first those being stored, then those that drain or
+            those that wait.
     """
 
     def __init__(self, proxy_leases: ProxyLeases, max_drain_s: float, header_entries: float) -> None:
         self.proxy_leases = proxy_leases
         self.max_drain_s = max_drain_s
         self.header_entries = header_entries
-        self.migrations: deque[_Migration] = deque()
+        self.migrations: deque[Migration] = deque()
         self._last_checkpoint_id = FIRST_CHECKPOINT_ID
 
     @property
@@ -134,22 +82,29 @@
     def on_proxy_connected(self, now: float, proxy_id: int) -> HandoverSteps:
         """Add a proxy, which accepts writes after its first update.
 
-        The update is sent at once. During a migration it clears the tables of the slices that migrate.
+        The update is sent at once. It clears the tables of all slices that migrate. One more for each further
+        migration has its checkpoint.
         """
         self.proxy_leases.on_connected(proxy_id)
-        if not self.migrations:
+        begun = [migration for migration in self.migrations if migration.stage is not Stage.WAITING]
+        if not begun:
             return HandoverSteps(proxy_updates=[(proxy_id, ProxyUpdate(0, now, self.header_entries))])
-        migration = self.migrations[0]
-        if migration.stage is _Stage.DRAINING:
+        all_tokens: dict[int, int] = {}
+        for migration in begun:
             migration.unacknowledged.add(proxy_id)
-        update = ProxyUpdate(migration.batch, now, self.header_entries)
-        return HandoverSteps(proxy_updates=[(proxy_id, migration.drain_request(update))])
+            all_tokens |= migration.fencing_tokens
+        updates = [ProxyUpdate(migration.batch, now, self.header_entries) for migration in begun]
+        requests = [begun[0].drain_request(updates[0], dict(sorted(all_tokens.items())))]
+        requests += [
+            migration.drain_request(update) for migration, update in zip(begun[1:], updates[1:], strict=True)
+        ]
+        return HandoverSteps(proxy_updates=[(proxy_id, request) for request in requests])
 
     def on_proxy_disconnected(self, now: float, proxy_id: int) -> HandoverSteps:
         """Remove a proxy; draining waits until the writes that it may have in flight have ended."""
         self.proxy_leases.on_disconnected(now, proxy_id)
-        if self.migrations:
-            self.migrations[0].unacknowledged.discard(proxy_id)
+        for migration in self.migrations:
+            migration.unacknowledged.discard(proxy_id)
         return self.advance(now)
 
     def on_slice_granted(self, now: float, slice_id: int, has_server: bool) -> None:
@@ -183,15 +138,14 @@
             if update.withdrawn_servers or update.readmitted_servers or update.admission_levels:
                 immediate[proxy_id] = self._immediate_part(update)
             deferred.append((proxy_id, _deferred_part(update)))
-        self.migrations.append(_Migration(batch, weights, deferred))
-        if len(self.migrations) == 1:
-            return HandoverSteps(proxy_updates=self._begin_draining(now, immediate))
-        return HandoverSteps(proxy_updates=sorted(immediate.items()))
+        self._add_migration(Migration(batch, weights, deferred))
+        return HandoverSteps(proxy_updates=self._begin_draining(now, immediate))
 
     def on_checkpoint_reply(self, now: float, proxy_id: int, checkpoint_id: int) -> HandoverSteps:
         """Handle the acknowledgement of a checkpoint by a proxy, which has drained the migrating slices."""
-        if self.migrations and self.migrations[0].checkpoint_id == checkpoint_id:
-            self.migrations[0].unacknowledged.discard(proxy_id)
+        for migration in self.migrations:
+            if migration.checkpoint_id == checkpoint_id:
+                migration.unacknowledged.discard(proxy_id)
         return self.advance(now)
 
     def on_write_acknowledged(self, now: float, batch: int) -> HandoverSteps:
@@ -203,76 +157,97 @@
         while self.migrations and self._is_stored(self.migrations[0], batch):
             migration = self.migrations.popleft()
             steps.proxy_updates += self._final_updates(now, migration)
-            if self.migrations:
-                steps.proxy_updates += self._begin_draining(now, {})
+        steps.proxy_updates += self._begin_draining(now, {})
         return steps
 
     def drop_slice(self, slice_id: int) -> None:
         """Remove the weights of a slice, for example when another assigner owns it."""
         for migration in self.migrations:
-            migration.weights = [entry for entry in migration.weights if entry.slice_id != slice_id]
+            migration.drop_slice(slice_id)
 
     def unacknowledged_writes(self) -> list[tuple[int, list[WeightEntry]]]:
         """Return the weights in the storing stage, which the store has not committed yet, with their batch.
 
         They are written again after the store was unreachable.
         """
-        if self.migrations and self.migrations[0].stage is _Stage.STORING:
-            return [(self.migrations[0].batch, self.migrations[0].weights)]
-        return []
+        return [
+            (migration.batch, migration.weights)
+            for migration in self.migrations
+            if migration.stage is Stage.STORING
+        ]
 
     def on_token_renewed(self, slice_id: int, fencing_token: int) -> None:
         """Replace the fencing token in the weights of a slice whose tenure is unbroken."""
         for migration in self.migrations:
-            migration.weights = [_with_token(entry, slice_id, fencing_token) for entry in migration.weights]
+            migration.renew_token(slice_id, fencing_token)
 
     # Time -----------------------------------------------------------------------------------------
 
     def advance(self, now: float) -> HandoverSteps:
-        """End draining if it is complete or its deadline has passed; called regularly during a migration."""
+        """Store what is drained or past its deadline; called regularly during a migration."""
         steps = HandoverSteps()
-        if self.migrations and self.migrations[0].stage is _Stage.DRAINING:
-            migration = self.migrations[0]
-            writes_end_at = self.proxy_leases.writes_end_at(migration.slice_ids)
-            drained = not migration.unacknowledged and now >= writes_end_at
-            if drained or now >= migration.drain_deadline:
-                migration.stage = _Stage.STORING
-                steps.writes.append((migration.batch, migration.weights))
+        for migration in self.migrations:
+            if migration.stage is Stage.STORING:
+                continue
+            if migration.stage is Stage.WAITING or not self._may_store(now, migration):
+                break
+            migration.stage = Stage.STORING
+            steps.writes.append((migration.batch, migration.weights))
         return steps
 
+    def _may_store(self, now: float, migration: Migration) -> bool:
+        """Return whether no writes of the slices are in flight, or draining has lasted too long."""
+        writes_end_at = self.proxy_leases.writes_end_at(migration.fencing_tokens)
+        drained = not migration.unacknowledged and now >= writes_end_at
+        return drained or now >= migration.drain_deadline
+
     # Stages ---------------------------------------------------------------------------------------
 
+    def _add_migration(self, migration: Migration) -> None:
+        """Append a migration without the slices that drain already, which only get other weights."""
+        for earlier in self.migrations:
+            if earlier.stage is Stage.DRAINING:
+                migration.weights = earlier.replace_weights(migration.weights)
+        if self.migrations and not migration.weights:
+            self.migrations[-1].merge(migration)
+        else:
+            self.migrations.append(migration)
+
     def _begin_draining(self, now: float, immediate: dict[int, ProxyUpdate]) -> AddressedUpdates:
-        """Merge all pending migrations into one, and begin to drain its slices.
+        """Merge all waiting migrations into one, and begin to drain its slices, unless weights are being stored.
 
         Returns:
-            The requests to drain, each together with the part of its proxy's update that is not delayed.
+            The requests to drain, each together with the part of its proxy's update that is not delayed. Without
+            such requests, only these parts.
         """
-        migration = self._merge_pending()
+        migration = self._merge_waiting()
+        if migration is None or self.migrations[0].stage is Stage.STORING:
+            return sorted(immediate.items())
         self._last_checkpoint_id += 1
         migration.checkpoint_id = self._last_checkpoint_id
         migration.unacknowledged = set(self.proxies)
         migration.drain_deadline = now + self.max_drain_s
+        migration.stage = Stage.DRAINING
         updates: AddressedUpdates = []
         for proxy_id in sorted(self.proxies):
             update = immediate.get(proxy_id, ProxyUpdate(migration.batch, now, self.header_entries))
             updates.append((proxy_id, migration.drain_request(update)))
         return updates
 
-    def _merge_pending(self) -> _Migration:
-        """Replace all migrations by a merged one, and return it."""
-        migration = self.migrations.popleft()
-        while self.migrations:
-            migration = migration.merged_with(self.migrations.popleft())
-        self.migrations.append(migration)
-        return migration
+    def _merge_waiting(self) -> Migration | None:
+        """Replace all waiting migrations by a merged one, and return it; return None if none waits."""
+        waiting = [migration for migration in self.migrations if migration.stage is Stage.WAITING]
+        for later in waiting[1:]:
+            waiting[0].merge(later)
+            self.migrations.remove(later)
+        return waiting[0] if waiting else None
 
     @staticmethod
-    def _is_stored(migration: _Migration, acknowledged_batch: int) -> bool:
+    def _is_stored(migration: Migration, acknowledged_batch: int) -> bool:
         """Return whether the store has committed a migration, given the last batch that it acknowledged."""
-        return migration.stage is _Stage.STORING and migration.batch <= acknowledged_batch
+        return migration.stage is Stage.STORING and migration.batch <= acknowledged_batch
 
-    def _final_updates(self, now: float, migration: _Migration) -> AddressedUpdates:
+    def _final_updates(self, now: float, migration: Migration) -> AddressedUpdates:
         """Return updates with the new weights, also for the proxies that connected during the migration."""
         deferred = dict(migration.deferred_updates)
         cost = self.header_entries + len(migration.weights)
@@ -303,13 +278,6 @@
         )
 
 
-def _with_token(entry: WeightEntry, slice_id: int, fencing_token: int) -> WeightEntry:
-    """Return an entry with a new fencing token if it belongs to the slice, or else unchanged."""
-    if entry.slice_id != slice_id:
-        return entry
-    return msgspec.structs.replace(entry, fencing_token=fencing_token)
-
-
 def _deferred_part(update: ProxyUpdate) -> ProxyUpdate:
     """Return the part of an update that waits for the migration: its weights and its checkpoint."""
     return msgspec.structs.replace(update, withdrawn_servers=[], readmitted_servers=[], admission_levels=[])
--- a/puffintide/assigner/proxy_updates.py
+++ b/puffintide/assigner/proxy_updates.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from puffintide.assigner.channel import Channel
-from puffintide.assigner.handover import AddressedUpdates
+from puffintide.assigner.migration import AddressedUpdates
 from puffintide.protocol.clock import Clock, Timer
 from puffintide.protocol.stream import PeerIdentity, Stream
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -15,7 +15,7 @@
 from puffintide.protocol.messages import ProxyUpdate, WeightEntry
 
 WRITE_LEASE_S, MAX_WRITE_DEADLINE_S = 1.0, 2.0
-PROXY_COUNT = 3
+PROXY_COUNT, SLICE_COUNT = 3, 3
 MAX_WRITE_DURATION_S = WRITE_LEASE_S + MAX_WRITE_DEADLINE_S
 
 
@@ -79,20 +79,40 @@
     assert not handover.migrations
 
 
-def test_pending_batches_are_merged_into_the_next_migration() -> None:
+# Guards against a draining server whose slices have to wait for the migration of others.
+def test_batches_drain_at_the_same_time_and_are_stored_in_order() -> None:
+    handover = connected_handover()
+    first = handover.add_batch(1.0, *batch(5, [weight_entry(3, 8)], [0, 1]))
+    second = handover.add_batch(1.1, *batch(6, [weight_entry(3, 7), weight_entry(4, 9)], [0, 1]))
+    assert [update.cleared_slices for _, update in second.proxy_updates] == [[4], [4]]
+    # A slice that drains already gets other weights. Withdrawals are sent at once to both proxies.
+    third = handover.add_batch(1.1, *batch(7, [weight_entry(3, 9)], [0, 1], withdrawn=[2]))
+    assert [(update.withdrawn_servers, update.cleared_slices) for _, update in third.proxy_updates] == [
+        ([2], []),
+        ([2], []),
+    ]
+    for proxy in (0, 1):
+        steps = handover.on_checkpoint_reply(1.2, proxy, second.proxy_updates[0][1].checkpoint_id or 0)
+        assert steps == HandoverSteps()
+        steps = handover.on_checkpoint_reply(1.3, proxy, first.proxy_updates[0][1].checkpoint_id or 0)
+    assert steps.writes == [(5, [weight_entry(3, 9)]), (7, [weight_entry(4, 9)])]
+    assert servers_by_proxy(handover.on_write_acknowledged(1.4, 5)) == {0: [9], 1: [9]}
+    final = handover.on_write_acknowledged(1.5, 7)
+    assert [[entry.slice_id for entry in update.weights] for _, update in final.proxy_updates] == [[4], [4]]
+    assert all(update.checkpoint_id == 7 for _, update in final.proxy_updates)
+    assert not handover.migrations
+
+
+def test_batches_that_arrive_while_weights_are_stored_are_merged_into_the_next_migration() -> None:
     handover = connected_handover()
     first = handover.add_batch(1.0, *batch(5, [weight_entry(3, 8)], [0, 1]))
-    assert (
-        handover.add_batch(1.1, *batch(6, [weight_entry(3, 7), weight_entry(4, 9)], [0, 1])).proxy_updates
-        == []
-    )
-    # Withdrawals are sent at once to both proxies.
-    assert (
-        len(handover.add_batch(1.1, *batch(7, [weight_entry(3, 9)], [0, 1], withdrawn=[2])).proxy_updates)
-        == 2
-    )
     for proxy in (0, 1):
         handover.on_checkpoint_reply(1.2, proxy, first.proxy_updates[0][1].checkpoint_id or 0)
+    weights = [weight_entry(3, 7), weight_entry(4, 9)]
+    assert handover.add_batch(1.2, *batch(6, weights, [0, 1])).proxy_updates == []
+    # Withdrawals are sent at once to both proxies.
+    third = handover.add_batch(1.2, *batch(7, [weight_entry(3, 9)], [0, 1], withdrawn=[2]))
+    assert [update.withdrawn_servers for _, update in third.proxy_updates] == [[2], [2]]
     after = handover.on_write_acknowledged(1.3, 5)
     assert servers_by_proxy(after) == {0: [8], 1: [8]}
     drain_requests = [update for _, update in after.proxy_updates if update.cleared_slices]
@@ -148,6 +168,19 @@
     assert servers_by_proxy(handover.on_write_acknowledged(9.3, 5)) == {0: [8], 1: [8], 2: [8]}
 
 
+# Guards against writes to slices that are not cleared yet when the first update lets a proxy accept writes.
+def test_first_update_of_a_proxy_clears_the_slices_of_all_migrations() -> None:
+    handover = connected_handover()
+    requests = [
+        handover.add_batch(1.0 + number / 10, *batch(number, [weight_entry(number, 8)], [0, 1])).proxy_updates
+        for number in (5, 6)
+    ]
+    checkpoint_ids = [updates[0][1].checkpoint_id for updates in requests]
+    new_proxy_updates = [update for _, update in handover.on_proxy_connected(2.0, 2).proxy_updates]
+    assert [update.cleared_slices for update in new_proxy_updates] == [[5, 6], [6]]
+    assert [update.checkpoint_id for update in new_proxy_updates] == checkpoint_ids
+
+
 # Guards against a new owner that ignores the leases which the former owner, or its own former process, granted.
 def test_first_migration_after_a_grant_waits_for_proxies_that_have_not_connected() -> None:
     handover = new_handover(10.0, proxy_count=2)
@@ -197,13 +230,15 @@
     """A simulation of proxies with writes in flight, a store and delayed messages.
 
     Attributes:
-        table: The server of the only slice, by proxy; None while the table is cleared.
+        tables: The server of each slice, by proxy; cleared slices are missing.
+        table_batches: Number of the batch that changed each slice last, by proxy.
         writable_until: Time until which each proxy takes writes.
-        writes: The proxy, the server and the end time of each write in flight.
+        writes: The proxy, the slice, the server and the end time of each write in flight.
         messages: The arrival time, sequence number, type and content of each message in flight.
-        stored: The server of the only slice in the store.
+        stored: The server of each slice in the store.
+        stored_batches: Number of the batch that changed each slice last in the store.
         incarnation: Number of the current connection of each proxy, which marks messages of earlier ones.
-        max_servers: Highest number of servers that executed writes at the same time.
+        max_servers: Highest number of servers that executed writes of one slice at the same time.
     """
 
     def __init__(self, seed: int, max_drain_s: float = 50.0, restart_probability: float = 0.0) -> None:
@@ -212,12 +247,14 @@
         self.now = 0.0
         self.max_drain_s = max_drain_s
         self.handover = new_handover(max_drain_s, PROXY_COUNT)
-        self.table: dict[int, int | None] = {}
+        self.tables: dict[int, dict[int, int]] = {proxy: {} for proxy in range(PROXY_COUNT)}
+        self.table_batches: dict[int, dict[int, int]] = {proxy: {} for proxy in range(PROXY_COUNT)}
         self.writable_until: dict[int, float] = {}
-        self.writes: list[tuple[int, int, float]] = []
+        self.writes: list[tuple[int, int, int, float]] = []
         self.messages: list[tuple[float, int, str, Any]] = []
         self.message_count = 0
-        self.stored = 0
+        self.stored = dict.fromkeys(range(SLICE_COUNT), 0)
+        self.stored_batches = dict.fromkeys(range(SLICE_COUNT), 0)
         self.incarnation: dict[int, int] = {}
         self.max_servers = 0
 
@@ -227,73 +264,74 @@
             (self.now + self.rng.uniform(0.01, max_delay_s), self.message_count, message_type, content)
         )
 
+    def send_in_order(self, message_type: str, content: Any) -> None:
+        """Send a message that arrives after the earlier ones of its type to or from the same peer."""
+        last_arrival = max(
+            (
+                arrives_at
+                for arrives_at, _, other_type, other in self.messages
+                if other_type == message_type and other[0] == content[0]
+            ),
+            default=0.0,
+        )
+        self.message_count += 1
+        arrives_at = max(last_arrival, self.now + self.rng.uniform(0.01, 0.4)) + 1e-6
+        self.messages.append((arrives_at, self.message_count, message_type, content))
+
     def apply_steps(self, steps: HandoverSteps) -> None:
         for proxy, update in steps.proxy_updates:
-            last_arrival = max(
-                (
-                    arrives_at
-                    for arrives_at, _, message_type, content in self.messages
-                    if message_type == "update" and content[0] == proxy
-                ),
-                default=0.0,
-            )
-            self.message_count += 1
-            # Updates of one proxy arrive in order, as they are sent on one stream.
-            arrives_at = max(last_arrival, self.now + self.rng.uniform(0.01, 0.4)) + 1e-6
-            content = (proxy, self.incarnation.get(proxy, 0), update)
-            self.messages.append((arrives_at, self.message_count, "update", content))
+            self.send_in_order("update", (proxy, self.incarnation.get(proxy, 0), update))
         for number, weights in steps.writes:
-            self.send("write", (number, weights[0].server_id if weights else None))
+            self.send_in_order("write", ("store", number, weights))
 
-    def has_writes_in_flight(self, proxy: int) -> bool:
-        return any(writer == proxy and end > self.now for writer, _, end in self.writes)
+    def has_writes_in_flight(self, proxy: int, slice_ids: list[int]) -> bool:
+        return any(
+            writer == proxy and slice_id in slice_ids and end > self.now
+            for writer, slice_id, _, end in self.writes
+        )
 
     def run(self) -> int:
         self.incarnation = {}
         batches = 0
         for proxy in range(PROXY_COUNT):
             self.incarnation[proxy] = 1
-            self.table[proxy] = self.stored
+            self.read_store(proxy)
             self.apply_steps(self.handover.on_proxy_connected(self.now, proxy))
         for _ in range(1500):
             self.now += 0.02
-            for message in sorted(message for message in self.messages if message[0] <= self.now):
+            for message in sorted(
+                (message for message in self.messages if message[0] <= self.now), key=lambda row: row[:2]
+            ):
                 self.messages.remove(message)
                 self.deliver(message[2], message[3])
             self.apply_steps(self.handover.advance(self.now))
-            for proxy in list(self.incarnation):
-                server = self.table.get(proxy)
-                if (
-                    server is not None
-                    and self.writable_until.get(proxy, 0.0) > self.now
-                    and self.rng.random() < 0.2
-                ):
-                    self.writes.append(
-                        (proxy, server, self.now + self.rng.uniform(0.0, MAX_WRITE_DEADLINE_S))
-                    )
-            if self.rng.random() < 0.01:
+            for proxy, table in self.tables.items():
+                self.send_writes(proxy, table)
+            if self.rng.random() < 0.02:
                 batches += 1
-                new_server = self.rng.randrange(10)
-                self.apply_steps(
-                    self.handover.add_batch(
-                        self.now,
-                        batches,
-                        [weight_entry(0, new_server)],
-                        [
-                            (proxy, ProxyUpdate(batches, 0.0, 3.0, [weight_entry(0, new_server)]))
-                            for proxy in self.connected
-                        ],
-                    )
-                )
+                self.add_batch(batches)
             if self.rng.random() < 0.004 and self.connected:
                 self.disconnect(self.rng.choice(self.connected))
             if self.rng.random() < self.restart_probability:
                 self.restart_assigner()
-            self.writes = [write for write in self.writes if write[2] > self.now]
-            servers = {server for _, server, _ in self.writes}
-            self.max_servers = max(self.max_servers, len(servers))
+            self.writes = [write for write in self.writes if write[3] > self.now]
+            for slice_id in range(SLICE_COUNT):
+                servers = {server for _, written_slice, server, _ in self.writes if written_slice == slice_id}
+                self.max_servers = max(self.max_servers, len(servers))
         return batches
 
+    def send_writes(self, proxy: int, table: dict[int, int]) -> None:
+        for slice_id, server in table.items():
+            if self.writable_until.get(proxy, 0.0) > self.now and self.rng.random() < 0.2:
+                end = self.now + self.rng.uniform(0.0, MAX_WRITE_DEADLINE_S)
+                self.writes.append((proxy, slice_id, server, end))
+
+    def add_batch(self, number: int) -> None:
+        slice_ids = self.rng.sample(range(SLICE_COUNT), self.rng.randint(1, SLICE_COUNT))
+        weights = [weight_entry(slice_id, self.rng.randrange(10)) for slice_id in slice_ids]
+        updates = [(proxy, ProxyUpdate(number, 0.0, 3.0, weights)) for proxy in self.connected]
+        self.apply_steps(self.handover.add_batch(self.now, number, weights, updates))
+
     @property
     def connected(self) -> list[int]:
         return sorted(self.handover.proxies)
@@ -305,8 +343,14 @@
         self.apply_steps(self.handover.on_proxy_disconnected(self.now, proxy))
         self.send("reconnect", proxy, 4.0)
 
+    def read_store(self, proxy: int) -> None:
+        """Let a proxy read the stored servers, unless its own table is newer."""
+        for slice_id, server in self.stored.items():
+            if self.stored_batches[slice_id] >= self.table_batches[proxy].get(slice_id, 0):
+                self.tables[proxy][slice_id] = server
+
     def restart_assigner(self) -> None:
-        """Replace the assigner by a new process, which is granted the slice and knows no proxies."""
+        """Replace the assigner by a new process, which is granted the slices and knows no proxies."""
         former_proxies = self.connected
         self.messages = [message for message in self.messages if message[2] in ("update", "reconnect")]
         self.handover = new_handover(self.max_drain_s, PROXY_COUNT)
@@ -314,43 +358,52 @@
             self.incarnation[proxy] += 1
             self.writable_until[proxy] = min(self.writable_until.get(proxy, 0.0), self.now + WRITE_LEASE_S)
             self.send("reconnect", proxy, 4.0)
-        self.handover.on_slice_granted(self.now, 0, has_server=True)
+        for slice_id in range(SLICE_COUNT):
+            self.handover.on_slice_granted(self.now, slice_id, has_server=True)
+        self.table_batches = {
+            proxy: {} for proxy in range(PROXY_COUNT)
+        }  # Batches of a former tenure do not count.
 
     def deliver(self, message_type: str, content: Any) -> None:
         match message_type:
             case "write":
-                number, server = content
-                self.stored = server if server is not None else self.stored
-                self.send("write_acknowledged", number)
+                _, number, weights = content
+                for entry in weights:
+                    self.stored[entry.slice_id] = entry.server_id
+                    self.stored_batches[entry.slice_id] = number
+                self.send_in_order("write_acknowledged", ("store", number))
             case "write_acknowledged":
-                self.apply_steps(self.handover.on_write_acknowledged(self.now, content))
+                self.apply_steps(self.handover.on_write_acknowledged(self.now, content[1]))
             case "reconnect":
                 assert isinstance(content, int)
-                self.table[content] = self.stored
+                self.read_store(content)
                 self.apply_steps(self.handover.on_proxy_connected(self.now, content))
             case "checkpoint_reply":
                 self.deliver_checkpoint_reply(*content)
             case _:
                 self.deliver_update(*content)
 
-    def deliver_checkpoint_reply(self, proxy: int, incarnation: int, checkpoint_id: int) -> None:
+    def deliver_checkpoint_reply(self, proxy: int, incarnation: int, update: ProxyUpdate) -> None:
         if self.incarnation[proxy] != incarnation:
             return
-        if self.has_writes_in_flight(proxy):
-            self.send("checkpoint_reply", (proxy, incarnation, checkpoint_id), 0.05)
+        if self.has_writes_in_flight(proxy, update.cleared_slices):
+            self.send("checkpoint_reply", (proxy, incarnation, update), 0.05)
         else:
+            checkpoint_id = update.checkpoint_id or 0
             self.apply_steps(self.handover.on_checkpoint_reply(self.now, proxy, checkpoint_id))
 
     def deliver_update(self, proxy: int, incarnation: int, update: ProxyUpdate) -> None:
         if self.incarnation[proxy] != incarnation:
             return
         self.writable_until[proxy] = 1e9
-        if update.cleared_slices:
-            self.table[proxy] = None
+        for slice_id in update.cleared_slices:
+            self.tables[proxy].pop(slice_id, None)
+            self.table_batches[proxy][slice_id] = update.batch
         for entry in update.weights:
-            self.table[proxy] = entry.server_id
+            self.tables[proxy][entry.slice_id] = entry.server_id
+            self.table_batches[proxy][entry.slice_id] = update.batch
         if update.checkpoint_id is not None and update.checkpoint_id >= FIRST_CHECKPOINT_ID:
-            self.send("checkpoint_reply", (proxy, incarnation, update.checkpoint_id), 0.05)
+            self.send("checkpoint_reply", (proxy, incarnation, update), 0.05)
 
 
 @pytest.mark.parametrize("seed", range(25))
