A paused proxy's write lease ends by the heartbeat timeout, not when it continues

Cause: the lease began when the proxy noticed the loss, which a paused process does when it continues. Its assigner had counted from the heartbeat timeout.

Change: Session.lost_at_s counts a loss from the timeout after the last message, if that is earlier, so the holder's own clock ends the lease.

--- a/puffintide/protocol/session.py
+++ b/puffintide/protocol/session.py
@@ -104,6 +104,13 @@
         self.peer_greeting = message
         return [message], [self.greeting] if isinstance(self.greeting, Welcome) else []
 
+    def lost_at_s(self, now_s: float) -> float:
+        """Return when the peer was lost, given that the loss is noticed now.
+
+        A process that was paused notices it later than the heartbeat timeout.
+        """
+        return min(now_s, self.last_received_s + self.heartbeat_timeout_s)
+
     def due_heartbeats(self, now_s: float) -> list[Message]:
         """Return the heartbeats to send now.
 
--- a/puffintide/proxy/control_plane.py
+++ b/puffintide/proxy/control_plane.py
@@ -162,8 +162,10 @@
         return any(driver.engine.has_writes_in_flight(slice_ids) for driver in self.drivers)
 
     def _on_assigner_lost(self, assigner_id: int, reason: str) -> None:
-        if self.assigners.pop(assigner_id, None) is not None:
-            self.engine.on_assigner_disconnected(self.drivers[0].now_s(), assigner_id)
+        stream = self.assigners.pop(assigner_id, None)
+        if stream is not None:
+            lost_at_s = stream.session.lost_at_s(self.drivers[0].now_s())
+            self.engine.on_assigner_disconnected(lost_at_s, assigner_id)
             self.log.warning("assigner_connection_lost", assigner_id=assigner_id, reason=reason)
 
     # Store ---------------------------------------------------------------------------------------
--- a/puffintide/proxy/engine.py
+++ b/puffintide/proxy/engine.py
@@ -57,9 +57,9 @@
         """Dispatch the queued requests after another engine changed the shared tables."""
         return self.dispatcher.dispatch_queued(now_s, admission_changed)
 
-    def on_assigner_disconnected(self, now_s: float, assigner_id: int) -> None:
-        """Limit the write leases of a disconnected assigner's slices to one lease duration from now."""
-        self.routing.write_leases.limit(assigner_id, now_s + self.settings.write_lease_s)
+    def on_assigner_disconnected(self, lost_at_s: float, assigner_id: int) -> None:
+        """Limit the write lease of an assigner to one lease duration from the loss of its stream."""
+        self.routing.write_leases.limit(assigner_id, lost_at_s + self.settings.write_lease_s)
 
     # Requests ------------------------------------------------------------------------------------
 
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -181,3 +181,12 @@
     server.due_heartbeats(3.8)
     with pytest.raises(HeartbeatTimeoutError, match="silent"):
         server.due_heartbeats(4.0)
+
+
+# Guards against a lease that a paused process counts from when it notices the loss of its peer.
+def test_loss_counts_from_the_heartbeat_timeout() -> None:
+    client, server = client_and_server_sessions()
+    server.handle_connected(0.0)
+    server.receive_line(1.0, encode(client.greeting))
+    assert server.lost_at_s(1.5) == 1.5
+    assert server.lost_at_s(60.0) == 1.0 + server.heartbeat_timeout_s
--- a/tests/test_single_writer_faults.py
+++ b/tests/test_single_writer_faults.py
@@ -88,3 +88,11 @@
 def test_drains_are_in_time_after_a_restart_without_some_proxies(seed: int, tmp_path: Path) -> None:
     faults = drain_faults(FAULT_AT_S + 0.1, 1, 2, 4)
     assert_rules_hold(tmp_path, seed, faults, RESTART + cut_off_proxies(FAULT_AT_S - 0.01))
+
+
+# Guards against a paused proxy that begins a whole write lease when it continues, long after its assigner lost it.
+@pytest.mark.parametrize("seed", [8, 23])
+def test_continued_proxy_sends_no_writes_to_a_former_server(seed: int, tmp_path: Path) -> None:
+    stop = process_steps("stop", FAULT_AT_S, "wake", 12, "proxy:0", "proxy:1", "proxy:2")
+    faults = {"drain": fault("deploy", FAULT_AT_S + 2, 5, servers="1, 2", size=1, extra=9)}
+    assert_rules_hold(tmp_path, seed, faults, stop)
