--- a/puffintide/assigner/handover.py
+++ b/puffintide/assigner/handover.py
@@ -295,7 +295,8 @@
         ),
         default=0.0,
     )
-    max_drain_s = min(max_write_deadline_s, MAX_DRAIN_FRACTION * settings.max_unserved_s)
+    max_write_duration_s = write_lease_s + max_write_deadline_s
+    max_drain_s = min(max_write_duration_s, MAX_DRAIN_FRACTION * settings.max_unserved_s)
     proxy_leases = ProxyLeases(write_lease_s, max_write_deadline_s, settings.proxy_count)
     return Handover(proxy_leases, max_drain_s, settings.channel_header_entries)
 
--- a/tests/test_single_writer_faults.py
+++ b/tests/test_single_writer_faults.py
@@ -27,6 +27,13 @@
     "fleet": {"servers": 8, "cores": 6, "cold_from": 0.9, "warm_s": 2},
     "load": {"requests_per_s": 60, "retries": 0},
 }
+NEARLY_LATE_WRITES = LONG_WRITES | {"aim_s": 3.0, "work_s": 2.2, "work_cv": 0.25}
+NEARLY_LATE_CHANGES = {
+    "class start": CHANGES["class start"] | NEARLY_LATE_WRITES,
+    "class charge": CHANGES["class charge"] | NEARLY_LATE_WRITES,
+    "fleet": CHANGES["fleet"] | {"cores": 24},
+    "load": {"requests_per_s": 40, "retries": 0, "try_share": 1.0},
+}
 SLOW_NETWORK = {"net": {"same_s": 0.04, "cross_s": 0.1}}
 RESTART = process_steps("kill", FAULT_AT_S, "start", RESTARTED_AT_S, "assigner:0")
 
@@ -39,9 +46,9 @@
     }
 
 
-def cut_off_proxies(begin_s: float) -> list[tuple[float, Any]]:
+def cut_off_proxies(begin_s: float, end_s: float = CUT_ENDS_AT_S) -> list[tuple[float, Any]]:
     """Return steps that separate some proxies from the assigners, but not from the store."""
-    return link_fault_steps(begin_s, CUT_ENDS_AT_S, kinds=["order"], cut="refuse", proxies=CUT_OFF_PROXIES)
+    return link_fault_steps(begin_s, end_s, kinds=["order"], cut="refuse", proxies=CUT_OFF_PROXIES)
 
 
 def assert_rules_hold(
@@ -96,3 +103,9 @@
     stop = process_steps("stop", FAULT_AT_S, "wake", 12, "proxy:0", "proxy:1", "proxy:2")
     faults = {"drain": fault("deploy", FAULT_AT_S + 2, 5, servers="1, 2", size=1, extra=9)}
     assert_rules_hold(tmp_path, seed, faults, stop)
+
+
+# Guards against a migration that ends before a lost proxy's last write, sent late in its lease, may have ended.
+def test_migration_waits_for_the_whole_deadline_of_writes_sent_under_a_lease(tmp_path: Path) -> None:
+    faults = {"drain": fault("deploy", FAULT_AT_S + 0.05, 5, servers="1, 2", size=1, extra=9)}
+    assert_rules_hold(tmp_path, 25, faults, cut_off_proxies(FAULT_AT_S, 16), **NEARLY_LATE_CHANGES)
