--- a/puffintide/assigner/handover.py
+++ b/puffintide/assigner/handover.py
@@ -24,21 +24,16 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 import msgspec
 
 from puffintide.assigner.migration import AddressedUpdates, Migration, Stage
 from puffintide.assigner.proxy_leases import ProxyLeases
-from puffintide.decisions.settings import RepeatSafety, Settings
 from puffintide.protocol.messages import ProxyUpdate, WeightEntry
 
 # Checkpoint ids of handovers are larger than this. Those of the decision module itself are below 2^16.
 FIRST_CHECKPOINT_ID = 1 << 20
-# Maximum duration of draining, as a fraction of the time for which a slice may be without a server.
-MAX_DRAIN_FRACTION = 0.8
-# Messages that a batch sends to each proxy, where the decision module counts one.
-MESSAGES_PER_BATCH = 2
 
 
 @dataclass(slots=True)
@@ -82,8 +77,8 @@
     def on_proxy_connected(self, now: float, proxy_id: int) -> HandoverSteps:
         """Add a proxy, which accepts writes after its first update.
 
-        The update is sent at once. It clears the tables of all slices that migrate. One more for each further
-        migration has its checkpoint.
+        The update is sent at once. It clears the tables of all slices that migrate, and has the checkpoint of the
+        first migration. Further updates have the checkpoints of the others.
         """
         self.proxy_leases.on_connected(proxy_id)
         begun = [migration for migration in self.migrations if migration.stage is not Stage.WAITING]
@@ -281,33 +276,3 @@
 def _deferred_part(update: ProxyUpdate) -> ProxyUpdate:
     """Return the part of an update that waits for the migration: its weights and its checkpoint."""
     return msgspec.structs.replace(update, withdrawn_servers=[], readmitted_servers=[], admission_levels=[])
-
-
-def create_handover(settings: Settings, write_lease_s: float) -> Handover | None:
-    """Return the handover of an assigner, or None if slices may have several writers."""
-    if not settings.single_writer:
-        return None
-    max_write_deadline_s = max(
-        (
-            request_class.deadline_s
-            for request_class in settings.request_classes
-            if request_class.repeat_safety != RepeatSafety.IDEMPOTENT
-        ),
-        default=0.0,
-    )
-    max_write_duration_s = write_lease_s + max_write_deadline_s
-    max_drain_s = min(max_write_duration_s, MAX_DRAIN_FRACTION * settings.max_unserved_s)
-    proxy_leases = ProxyLeases(write_lease_s, max_write_deadline_s, settings.proxy_count)
-    return Handover(proxy_leases, max_drain_s, settings.channel_header_entries)
-
-
-def with_handover_budget(settings: Settings) -> Settings:
-    """Return settings for the decision module that limit its messages to what a handover permits.
-
-    A handover sends more messages to each proxy than the decision module counts, and all of them have to stay
-    within the limit of messages per window.
-    """
-    if not settings.max_messages_per_window:
-        return settings
-    budget = (settings.max_messages_per_window - 1) // MESSAGES_PER_BATCH
-    return replace(settings, max_messages_per_window=max(1, budget))
--- a/puffintide/assigner/service.py
+++ b/puffintide/assigner/service.py
@@ -15,8 +15,9 @@
 from puffintide.assigner.decision_loop import DecisionLoop
 from puffintide.assigner.endpoint_list import EndpointList
 from puffintide.assigner.endpoint_watch import EndpointWatch
-from puffintide.assigner.handover import Handover, HandoverSteps, create_handover, with_handover_budget
+from puffintide.assigner.handover import Handover, HandoverSteps
 from puffintide.assigner.handover_runner import HandoverRunner
+from puffintide.assigner.handover_settings import create_handover, with_handover_budget
 from puffintide.assigner.health_checks import HealthCheckers, HealthCheckOptions
 from puffintide.assigner.inbound_streams import InboundStreams
 from puffintide.assigner.load_reports import LoadReportAggregator
